--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,335 @@
+#include "admission/admission.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "admission/why.hpp"
+#include "planner/profile.hpp"
+
+namespace marblevale {
+
+namespace {
+
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxFinals = 2000;
+constexpr std::size_t kMaxReads = 300;
+constexpr int kTries = 3;
+constexpr int kComeBackSeconds = 2;
+
+UserAnswer error(int status, const std::string& what, int retry_after_s = 0) {
+  json::Writer out;
+  out.open().put("error", what).close();
+  return {status, out.str(), retry_after_s};
+}
+
+UserAnswer undecided() { return error(503, "the state service does not answer", kComeBackSeconds); }
+
+UserAnswer state(const Uid& uid, const char* status) {
+  json::Writer out;
+  out.open().put("uid", uid.get()).put("status", status).close();
+  return {200, out.str(), 0};
+}
+
+template <typename Record>
+std::optional<Record> decode_entry(const Entry& entry) {
+  json::Document doc;
+  Record record;
+  if (!json::parse(doc, entry.value) || !decode(doc, record)) return std::nullopt;
+  return record;
+}
+
+}  // namespace
+
+Admission::Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror)
+    : clock_(clock),
+      settings_(settings),
+      store_(store),
+      mirror_(mirror),
+      last_cancel_(clock.wall()) {}
+
+void Admission::remember(const FinalRecord& job) {
+  if (!finals_.emplace(job.uid, job).second) return;
+  finals_order_.push_back(job.uid);
+  if (finals_order_.size() > kMaxFinals) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+const FinalRecord* Admission::remembered(const Uid& uid) const {
+  const auto it = finals_.find(uid);
+  return it == finals_.end() ? nullptr : &it->second;
+}
+
+UserAnswer Admission::state_of(const FinalRecord& job) {
+  json::Writer out;
+  out.open()
+      .put("uid", job.uid.get())
+      .put("status", job.state == FinalState::done ? "done" : "cancelled")
+      .put("done", static_cast<std::uint64_t>(job.state == FinalState::done ? job.parts : 0))
+      .put("running", 0)
+      .close();
+  return {200, out.str(), 0};
+}
+
+UserAnswer Admission::state_of(const JobRecord& job) const {
+  // The counts are for display and may lag; the state itself was just read.
+  std::uint64_t done = 0;
+  std::uint64_t running = 0;
+  const auto& slices = mirror_.records().slices;
+  for (auto it = slices.lower_bound({job.spec.uid, 0});
+       it != slices.end() && it->first.first == job.spec.uid; ++it) {
+    for (const TaskRecord& task : it->second.record.tasks) {
+      done += task.state == TaskState::done ? 1 : 0;
+      running += task.state == TaskState::bound ? 1 : 0;
+    }
+  }
+  json::Writer out;
+  out.open()
+      .put("uid", job.spec.uid.get())
+      .put("status", job.cancelled ? "cancelled" : running > 0 ? "running" : "queued")
+      .put("done", done)
+      .put("running", running)
+      .close();
+  return {200, out.str(), 0};
+}
+
+void Admission::look_up(const Uid& uid, std::function<void(const Found&)> then) {
+  if (const FinalRecord* known = remembered(uid)) {
+    then({true, std::nullopt, *known});
+    return;
+  }
+  // Equal reads are joined only while the first has not been sent back: an answer must not be older
+  // than the question, so one that is already on its way serves those that came before it was sent.
+  const auto it = reading_.find(uid);
+  if (it != reading_.end()) {
+    it->second.push_back(std::move(then));
+    return;
+  }
+  if (reading_.size() >= kMaxReads) {
+    then({});
+    return;
+  }
+  reading_[uid].push_back(std::move(then));
+  store_.read(keys::job(uid), [this, uid](const ReadResult& r) {
+    if (!r.ok) {
+      found(uid, {});
+      return;
+    }
+    if (!r.entry) {
+      // Jobs move to their final record in one commit, never back: what is in neither was not
+      // accepted before the first read.
+      look_up_final(uid);
+      return;
+    }
+    Found result;
+    if (auto record = decode_entry<JobRecord>(*r.entry)) {
+      result.ok = true;
+      result.job = Stored<JobRecord>{std::move(*record), r.entry->stamp};
+    }
+    found(uid, result);
+  });
+}
+
+void Admission::look_up_final(const Uid& uid) {
+  store_.read(keys::final_job(uid), [this, uid](const ReadResult& r) {
+    Found result;
+    result.ok = r.ok;
+    if (r.ok && r.entry) {
+      result.final_job = decode_entry<FinalRecord>(*r.entry);
+      result.ok = result.final_job.has_value();
+      if (result.final_job) remember(*result.final_job);
+    }
+    found(uid, result);
+  });
+}
+
+void Admission::found(const Uid& uid, const Found& result) {
+  const auto node = reading_.extract(uid);
+  if (node.empty()) return;
+  for (const auto& then : node.mapped()) then(result);
+}
+
+std::optional<std::string> Admission::impossible(const JobSpec& job) const {
+  const Team* team = settings_.team(job.crew);
+  if (team == nullptr) return "unknown team " + job.crew.get();
+  const Room wanted = job.gang() ? job.need * static_cast<double>(job.parts) : job.need;
+  if (!fits(wanted, team->limit())) return "needs more than the team's limit";
+  const auto& types = mirror_.records().types->record;
+  const bool fit = std::any_of(types.begin(), types.end(), [&](const MachineType& type) {
+    PlanMachine machine;
+    machine.build = type.name;
+    machine.room = type.room;
+    return std::any_of(type.zones.begin(), type.zones.end(), [&](const ZoneId& zone) {
+      machine.zone = zone;
+      return Profile::allowed(job, machine);
+    });
+  });
+  if (!fit) return "a task fits no allowed machine type";
+  return std::nullopt;
+}
+
+void Admission::submit(const std::string& body, Answer answer) {
+  json::Document doc;
+  if (body.size() > kMaxBody) {
+    answer(error(400, "the body is over 64 KiB"));
+    return;
+  }
+  if (!json::parse(doc, body)) {
+    answer(error(400, "not a JSON object"));
+    return;
+  }
+  const auto uid = json::text(doc, "uid");
+  if (!uid || !valid_uid(*uid)) {
+    answer(error(400, "uid: missing or invalid"));
+    return;
+  }
+  std::string why;
+  auto job = parse_job(doc, why);
+  std::optional<UserAnswer> refusal;
+  if (!job) {
+    refusal = error(400, why + ": missing or invalid");
+  } else if (mirror_.records().types) {
+    if (const auto reason = impossible(*job)) refusal = error(422, *reason);
+  }
+  if (refusal) {
+    // A job that was accepted gets 200 whatever the repetition looks like.
+    look_up(Uid(*uid), [this, refusal, answer](const Found& f) {
+      if (!f.ok) {
+        answer(undecided());
+      } else if (f.job) {
+        answer(state_of(f.job->record));
+      } else {
+        answer(f.final_job ? state_of(*f.final_job) : *refusal);
+      }
+    });
+    return;
+  }
+  if (!mirror_.ready() || !mirror_.records().types) {
+    answer(error(503, "the machine types are not known yet", 1));
+    return;
+  }
+  if (mirror_.records().jobs.size() >= settings_.tuning.max_open_jobs) {
+    answer(error(503, "too many unfinished jobs", kComeBackSeconds * 5));
+    return;
+  }
+  create(std::make_shared<JobSpec>(std::move(*job)), kTries, std::move(answer));
+}
+
+void Admission::create(std::shared_ptr<JobSpec> job, int tries, Answer answer) {
+  JobRecord record{*job, clock_.wall(), std::nullopt};
+  Txn txn;
+  txn.guard(keys::job(job->uid), Stamp{}).guard(keys::final_job(job->uid), Stamp{});
+  txn.put(keys::job(job->uid), encode(record));
+  mirror_.commit(Rank::submission, std::move(txn), [this, job, tries, answer](const CommitResult& r) {
+    switch (r.fate) {
+      case Fate::done: {
+        UserAnswer accepted = state(job->uid, "queued");
+        accepted.status = 201;
+        answer(accepted);
+        return;
+      }
+      case Fate::conflict:
+        look_up(job->uid, [this, answer](const Found& f) {
+          if (f.job) {
+            answer(state_of(f.job->record));
+          } else {
+            answer(f.final_job ? state_of(*f.final_job) : undecided());
+          }
+        });
+        return;
+      case Fate::unknown:
+        // The same commit again settles it: it passes, or finds that the first one did.
+        if (tries > 1) {
+          create(job, tries - 1, answer);
+          return;
+        }
+        answer(undecided());
+        return;
+      case Fate::refused:
+      case Fate::no_permit:
+        answer(undecided());
+        return;
+    }
+  });
+}
+
+void Admission::query(const std::string& uid, Answer answer) {
+  if (!valid_uid(uid)) {
+    answer(error(404, "no such job"));
+    return;
+  }
+  look_up(Uid(uid), [this, answer](const Found& f) {
+    if (!f.ok) {
+      answer(undecided());
+    } else if (f.job) {
+      if (f.job->record.cancelled) last_cancel_ = std::max(last_cancel_, clock_.wall());
+      answer(state_of(f.job->record));
+    } else {
+      answer(f.final_job ? state_of(*f.final_job) : error(404, "no such job"));
+    }
+  });
+}
+
+void Admission::abort(const std::string& uid, Answer answer) {
+  if (!valid_uid(uid)) {
+    answer(error(404, "no such job"));
+    return;
+  }
+  cancel(Uid(uid), kTries, std::move(answer));
+}
+
+void Admission::cancel(const Uid& uid, int tries, Answer answer) {
+  look_up(uid, [this, uid, tries, answer](const Found& f) {
+    if (!f.ok || tries == 0) {
+      answer(undecided());
+      return;
+    }
+    if (f.final_job) {
+      answer(state(uid, f.final_job->state == FinalState::done ? "done" : "cancelled"));
+      return;
+    }
+    if (!f.job) {
+      answer(error(404, "no such job"));
+      return;
+    }
+    last_cancel_ = std::max(last_cancel_, clock_.wall());
+    if (f.job->record.cancelled) {
+      answer(state(uid, "cancelled"));
+      return;
+    }
+    JobRecord record = f.job->record;
+    record.cancelled = clock_.wall();
+    Txn txn;
+    txn.guard(keys::job(uid), f.job->stamp).put(keys::job(uid), encode(record));
+    mirror_.commit(Rank::binding, std::move(txn), [this, uid, tries, answer](const CommitResult& r) {
+      last_cancel_ = std::max(last_cancel_, clock_.wall());
+      if (r.fate == Fate::done) {
+        answer(state(uid, "cancelled"));
+      } else if (r.fate == Fate::refused) {
+        answer(undecided());
+      } else {
+        cancel(uid, tries - 1, answer);  // read back what became of it
+      }
+    });
+  });
+}
+
+void Admission::why(const std::string& uid, Answer answer) {
+  if (!valid_uid(uid)) {
+    answer(error(404, "no such job"));
+    return;
+  }
+  look_up(Uid(uid), [this, answer](const Found& f) {
+    if (!f.ok) {
+      answer(undecided());
+    } else if (f.job) {
+      answer({200, explain(mirror_.records(), f.job->record, clock_.wall()), 0});
+    } else {
+      answer(f.final_job ? UserAnswer{200, explain(*f.final_job), 0} : error(404, "no such job"));
+    }
+  });
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/admission/admission.hpp
@@ -0,0 +1,66 @@
+// The users' interface: submit, query, abort, why. Any controller serves it, from committed
+// records only.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+struct UserAnswer {
+  int status = 503;
+  std::string body = R"({"error":"not decided"})";
+  int retry_after_s = 0;
+};
+
+using Answer = std::function<void(const UserAnswer&)>;
+
+class Admission {
+ public:
+  Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror);
+
+  void submit(const std::string& body, Answer answer);
+  void query(const std::string& uid, Answer answer);
+  void abort(const std::string& uid, Answer answer);
+  void why(const std::string& uid, Answer answer);
+
+  /// When this controller last sent or told a cancellation (its own start at the earliest).
+  [[nodiscard]] Wall last_cancel() const { return last_cancel_; }
+
+ private:
+  /// What is known of a job after a successful read.
+  struct Found {
+    bool ok = false;  // false: the state service did not tell
+    std::optional<Stored<JobRecord>> job;
+    std::optional<FinalRecord> final_job;
+  };
+
+  void look_up(const Uid& uid, std::function<void(const Found&)> then);
+  void look_up_final(const Uid& uid);
+  void found(const Uid& uid, const Found& result);
+  void create(std::shared_ptr<JobSpec> job, int tries, Answer answer);
+  void cancel(const Uid& uid, int tries, Answer answer);
+  void remember(const FinalRecord& job);
+  [[nodiscard]] const FinalRecord* remembered(const Uid& uid) const;
+  [[nodiscard]] UserAnswer state_of(const JobRecord& job) const;
+  [[nodiscard]] static UserAnswer state_of(const FinalRecord& job);
+  [[nodiscard]] std::optional<std::string> impossible(const JobSpec& job) const;
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Store& store_;
+  Mirror& mirror_;
+  Wall last_cancel_;
+  std::unordered_map<Uid, std::vector<std::function<void(const Found&)>>> reading_;
+  std::unordered_map<Uid, FinalRecord> finals_;  // never change; bounded
+  std::list<Uid> finals_order_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/admission/why.hpp
@@ -0,0 +1,17 @@
+// The answer to "why was my plan late?".
+#pragma once
+
+#include <string>
+
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+/// The answer for an unfinished job, from the records.
+std::string explain(const Records& records, const JobRecord& job, Wall now);
+/// The answer for a job that is over.
+std::string explain(const FinalRecord& job);
+/// The answer as a member reads it, from its JSON; the client verb prints this.
+std::string in_words(const std::string& answer);
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/app/service.cpp
@@ -0,0 +1,115 @@
+#include "app/service.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace marblevale {
+
+namespace {
+constexpr Span kStateSilence{3'500};
+constexpr std::string_view kJobs = "/api/jobs";
+}  // namespace
+
+Service::Service(Loop& loop, const Clock& clock, const Settings& settings, Nonce nonce)
+    : clock_(clock),
+      settings_(settings),
+      store_(loop, clock, settings.state, settings.store, settings.node_count()),
+      mirror_(loop, clock, store_, nonce.get()),
+      election_(loop, clock, settings, store_, mirror_, nonce),
+      cloud_(loop, clock, settings.cloud, settings.cloud_rps),
+      fleet_(loop, clock, settings, mirror_, election_, cloud_),
+      granting_(loop, clock, settings, mirror_, election_, fleet_),
+      grants_(loop, clock, settings, mirror_, election_),
+      order_sender_(loop),
+      holder_(loop, clock, settings, mirror_, election_, order_sender_),
+      admission_(clock, settings, store_, mirror_),
+      pulses_(
+          loop, clock, settings, [this] { return compose(); },
+          [this](const Pulse& pulse) { heard(pulse); }),
+      users_(loop, settings.users, [this](const HttpRequest& request, ResponderPtr responder) {
+        serve(request, std::move(responder));
+      }) {}
+
+void Service::begin() {
+  mirror_.begin();
+  election_.begin();
+  fleet_.begin();
+  granting_.begin();
+  grants_.begin();
+  holder_.begin();
+  pulses_.begin();
+}
+
+bool Service::state_answers() const {
+  return mirror_.ready() && clock_.steady() - mirror_.fresh_until() < kStateSilence;
+}
+
+bool Service::healthy() const {
+  // A controller that alone lacks the state service sends users elsewhere; when all lack it, being
+  // skipped would only cost time afterwards.
+  return mirror_.ready() && (state_answers() || !pulses_.peer_has_state());
+}
+
+Pulse Service::compose() {
+  Pulse pulse;
+  pulse.node = settings_.node.get();
+  pulse.nonce = election_.nonce().get();
+  pulse.state_ok = state_answers();
+  pulse.last_cancel_ms = admission_.last_cancel().ms;
+  for (const ZoneId& zone : holder_.complaints()) {
+    pulse.complaints.push_back(zone.get());
+    grants_.complaint(zone, settings_.node);
+  }
+  if (!state_answers() && mirror_.ready()) {
+    if (const auto since = pulses_.no_cancel_since(mirror_.fresh_until_wall())) {
+      holder_.extend_freshness(*since);
+    }
+  }
+  return pulse;
+}
+
+void Service::heard(const Pulse& pulse) {
+  for (const auto& zone : pulse.complaints) grants_.complaint(ZoneId(zone), NodeId(pulse.node));
+}
+
+void Service::serve(const HttpRequest& request, ResponderPtr responder) {
+  const std::string& path = request.path;
+  const bool get = request.method == EVHTTP_REQ_GET;
+  const bool post = request.method == EVHTTP_REQ_POST;
+  const auto answer = [responder](const UserAnswer& a) {
+    responder->reply(a.status, a.body, a.retry_after_s);
+  };
+  const auto refuse_method = [&] { responder->reply(405, R"({"error":"method not allowed"})"); };
+  if (path == "/hello") {
+    if (!post) return refuse_method();
+    const HelloAnswer hello = holder_.hello(request.body);
+    responder->reply(hello.status, hello.body);
+  } else if (path == "/up") {
+    if (!get) return refuse_method();
+    responder->reply(healthy() ? 200 : 503, "{}");
+  } else if (path == kJobs) {
+    if (!post) return refuse_method();
+    admission_.submit(request.body, answer);
+  } else if (path.compare(0, kJobs.size(), kJobs) == 0 && path.size() > kJobs.size() + 1 &&
+             path[kJobs.size()] == '/') {
+    const std::string rest = path.substr(kJobs.size() + 1);
+    const auto slash = rest.find('/');
+    const std::string uid = rest.substr(0, slash);
+    const std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    if (verb.empty() && slash == std::string::npos) {
+      if (!get) return refuse_method();
+      admission_.query(uid, answer);
+    } else if (verb == "abort") {
+      if (!post) return refuse_method();
+      admission_.abort(uid, answer);
+    } else if (verb == "why") {
+      if (!get) return refuse_method();
+      admission_.why(uid, answer);
+    } else {
+      responder->reply(404, R"({"error":"no such path"})");
+    }
+  } else {
+    responder->reply(404, R"({"error":"no such path"})");
+  }
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/app/service.hpp
@@ -0,0 +1,43 @@
+// The assembly of one controller.
+#pragma once
+
+#include "admission/admission.hpp"
+#include "app/settings.hpp"
+#include "blocks/grants.hpp"
+#include "blocks/holder.hpp"
+#include "election/election.hpp"
+#include "fleet/fleet.hpp"
+#include "peers/pulse.hpp"
+#include "planner/granting.hpp"
+
+namespace marblevale {
+
+class Service {
+ public:
+  Service(Loop& loop, const Clock& clock, const Settings& settings, Nonce nonce);
+  void begin();
+
+ private:
+  void serve(const HttpRequest& request, ResponderPtr responder);
+  [[nodiscard]] bool healthy() const;
+  [[nodiscard]] bool state_answers() const;
+  Pulse compose();
+  void heard(const Pulse& pulse);
+
+  const Clock& clock_;
+  const Settings& settings_;
+  StoreClient store_;
+  Mirror mirror_;
+  Election election_;
+  CloudClient cloud_;
+  Fleet fleet_;
+  Granting granting_;
+  BlockGrants grants_;
+  HttpOrderSender order_sender_;
+  Holder holder_;
+  Admission admission_;
+  Pulses pulses_;
+  HttpServer users_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/app/settings.hpp
@@ -0,0 +1,86 @@
+// The settings file that the platform hands over, and the operators' own settings.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/amounts.hpp"
+#include "core/strong.hpp"
+#include "core/time.hpp"
+#include "net/http_client.hpp"
+#include "store/client.hpp"
+
+namespace marblevale {
+
+struct Peer {
+  NodeId node;
+  ZoneId zone;
+  Address address;
+};
+
+struct Team {
+  TeamId name;
+  double cpus = 0;      // guaranteed
+  double gpus = 0;      // guaranteed
+  double cpus_max = 0;  // 0: no limit is given
+  double gpus_max = 0;
+
+  /// What the team's tasks may take at most.
+  [[nodiscard]] Room limit() const;
+  [[nodiscard]] Room guarantee() const;
+};
+
+struct WorkerTimes {
+  Span report;
+  Span lease;
+  Span gang_wait;
+  Span gang_peer;
+  Span cancel;
+};
+
+/// Operators' own settings: flags and variables only.
+struct Tuning {
+  Span round_budget{60};      // time of one round of decisions
+  Span block_lease{30'000};
+  Span session_lease{4'000};
+  Span idle_return{45'000};   // a machine idle for this long goes back
+  std::uint32_t max_open_jobs = 5000;
+};
+
+struct Settings {
+  NodeId node;
+  ZoneId zone;
+  Address users;  // serve_on
+  Address peers_at;
+  std::vector<Peer> peers;
+  Address cloud;
+  Address state;
+  std::vector<ZoneId> zones;
+  Span clock_error;
+  std::vector<Team> teams;
+  WorkerTimes workers;
+  StoreLimits store;
+  double cloud_rps = 1;
+  Span list_lag;
+  double ram_mb = 0;
+  int max_sockets = 0;
+  Tuning tuning;
+
+  [[nodiscard]] const Team* team(const TeamId& name) const;
+  [[nodiscard]] std::size_t node_count() const { return peers.size() + 1; }
+};
+
+/// A setting that is missing or wrong; the message names the field.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+Settings load_settings(const std::string& path);
+Settings parse_settings(const std::string& toml);
+Address parse_address(const std::string& text, const std::string& field);
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/blocks/grants.cpp
@@ -0,0 +1,111 @@
+#include "blocks/grants.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace marblevale {
+
+namespace {
+constexpr Span kTick{500};
+constexpr Span kHomeAfter{6'000};        // a controller must have been back for this long
+constexpr Span kAwayAfterMove{45'000};   // against flapping, after a move for cause
+constexpr Span kComplaintLife{3'000};
+}  // namespace
+
+BlockGrants::BlockGrants(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+                         Election& election)
+    : clock_(clock),
+      settings_(settings),
+      mirror_(mirror),
+      election_(election),
+      timer_(loop, [this] { tick(); }) {
+  mirror_.listen([this](Topic topic, const std::string&) {
+    if (topic == Topic::node || topic == Topic::block || topic == Topic::leader) timer_.start({0});
+  });
+}
+
+void BlockGrants::begin() { timer_.start(kTick); }
+
+void BlockGrants::complaint(const ZoneId& zone, const NodeId& witness) {
+  complaints_[zone] = {witness, clock_.steady()};
+  timer_.start({0});
+}
+
+std::optional<NodeId> BlockGrants::home(const ZoneId& zone) const {
+  if (settings_.zone == zone) return settings_.node;
+  for (const Peer& peer : settings_.peers) {
+    if (peer.zone == zone) return peer.node;
+  }
+  return std::nullopt;
+}
+
+std::optional<NodeId> BlockGrants::choose(const ZoneId& zone, const BlockRecord* held) {
+  const auto& records = mirror_.records();
+  const Steady now = clock_.steady();
+  const auto alive = [&](const NodeId& node) { return records.nodes.contains(node); };
+  const bool holder_lives = held != nullptr && records.alive(held->holder, held->nonce);
+
+  const auto complaint = complaints_.find(zone);
+  if (complaint != complaints_.end() && now - complaint->second.second < kComplaintLife) {
+    const NodeId witness = complaint->second.first;
+    complaints_.erase(complaint);
+    if (alive(witness) && held != nullptr && held->holder != witness) {
+      moved_[zone] = now;
+      return witness;
+    }
+  }
+  const auto home_node = home(zone);
+  const auto moved = moved_.find(zone);
+  const bool home_welcome =
+      home_node && alive(*home_node) &&
+      (moved == moved_.end() || now - moved->second > kAwayAfterMove);
+  if (home_welcome && (!holder_lives || held->holder == *home_node)) return home_node;
+  if (home_welcome && now - alive_since_[*home_node].second > kHomeAfter) return home_node;
+  if (holder_lives) return held->holder;
+
+  // Otherwise the living controller with the fewest blocks.
+  std::optional<NodeId> best;
+  std::size_t fewest = 0;
+  for (const auto& [node, stored] : records.nodes) {
+    std::size_t blocks = 0;
+    for (const auto& [other, block] : records.blocks) {
+      if (other != zone && block.record.holder == node) ++blocks;
+    }
+    if (!best || blocks < fewest) {
+      best = node;
+      fewest = blocks;
+    }
+  }
+  return best;
+}
+
+void BlockGrants::tick() {
+  timer_.start(kTick);
+  if (!election_.in_charge()) return;
+  const auto& records = mirror_.records();
+  for (const auto& [node, stored] : records.nodes) {
+    auto& seen = alive_since_[node];
+    if (seen.first != stored.record.nonce) seen = {stored.record.nonce, clock_.steady()};
+  }
+  for (const ZoneId& zone : settings_.zones) {
+    if (busy_.contains(zone)) continue;
+    const auto it = records.blocks.find(zone);
+    const BlockRecord* held = it == records.blocks.end() ? nullptr : &it->second.record;
+    const auto wanted = choose(zone, held);
+    if (!wanted) continue;
+    const NodeRecord& holder = records.nodes.at(*wanted).record;
+    if (held != nullptr && held->holder == *wanted && held->nonce == holder.nonce) continue;
+    spdlog::info("blocks: {} goes to {}", zone.get(), wanted->get());
+    Txn txn;
+    election_.guard(txn);
+    txn.guard(keys::block(zone), it == records.blocks.end() ? Stamp{} : it->second.stamp);
+    txn.put(keys::block(zone),
+            encode(BlockRecord{zone, *wanted, holder.nonce,
+                               held == nullptr ? 1 : held->generation + 1}),
+            holder.block_permit);
+    busy_.insert(zone);
+    mirror_.commit(Rank::lease, std::move(txn),
+                   [this, zone](const CommitResult&) { busy_.erase(zone); });
+  }
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/blocks/holder.cpp
@@ -0,0 +1,696 @@
+#include "blocks/holder.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace marblevale {
+
+namespace {
+
+constexpr Span kCoalesce{2};
+constexpr Span kSweep{500};
+constexpr Span kOrderDeadline{1500};
+constexpr Span kKillEvery{1500};
+constexpr Span kRenewEvery{8'000};
+constexpr Span kCancelMargin{4'000};
+constexpr Span kStrayWindow{20'000};
+constexpr std::size_t kMostOrders = 60;       // in one answer, so that it stays far below 64 KiB
+constexpr std::size_t kMostClients = 128;
+constexpr Span kIntroduceEvery{2'000};
+
+}  // namespace
+
+void HttpOrderSender::send(const std::string& address, std::string body, HttpHandler then) {
+  auto it = clients_.find(address);
+  if (it == clients_.end()) {
+    if (clients_.size() >= kMostClients) {
+      // Machines come and go: addresses that are idle make room.
+      std::erase_if(clients_, [](const auto& entry) { return entry.second->idle(); });
+    }
+    Address to;
+    try {
+      to = parse_address(address, "address");
+    } catch (const SettingsError&) {
+      then({0, true, {}});
+      return;
+    }
+    it = clients_.emplace(address, std::make_unique<HttpClient>(loop_, to, 1, 4)).first;
+  }
+  it->second->send({EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
+                   std::move(then));
+}
+
+Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+               Election& election, OrderSender& orders)
+    : clock_(clock),
+      settings_(settings),
+      mirror_(mirror),
+      election_(election),
+      orders_(orders),
+      round_timer_(loop, [this] { round(); }),
+      sweep_timer_(loop, [this] { sweep(); }) {
+  mirror_.listen([this](Topic topic, const std::string& key) {
+    switch (topic) {
+      case Topic::slice: {
+        const auto slash = key.find('/');
+        const Uid uid(key.substr(0, slash));
+        const auto number = static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)));
+        dirty_.insert({uid, number});
+        if (const auto* slice = mirror_.records().slice(uid, number)) {
+          for (const TaskRecord& task : slice->record.tasks) {
+            if (task.placed()) wake_.insert(task.host);
+          }
+        }
+        break;
+      }
+      case Topic::job: {
+        const Uid uid(key);
+        for (auto it = mirror_.records().slices.lower_bound({uid, 0});
+             it != mirror_.records().slices.end() && it->first.first == uid; ++it) {
+          dirty_.insert(it->first);
+          for (const TaskRecord& task : it->second.record.tasks) {
+            if (task.placed()) wake_.insert(task.host);
+          }
+        }
+        break;
+      }
+      case Topic::machine: {
+        const auto placed = mirror_.records().placed.find(HostId(key));
+        if (placed == mirror_.records().placed.end()) return;
+        for (const auto& [id, attempt] : placed->second) {
+          dirty_.insert({id.uid, id.part / kSliceTasks});
+        }
+        break;
+      }
+      case Topic::block:
+      case Topic::node:
+        break;
+      default:
+        return;
+    }
+    if (!round_timer_.pending()) round_timer_.start(kCoalesce);
+  });
+}
+
+void Holder::begin() { sweep_timer_.start(kSweep); }
+
+Warrant Holder::warrant_of(const ZoneId& zone) const {
+  const auto it = mirror_.records().blocks.find(zone);
+  return it == mirror_.records().blocks.end() ? Warrant{} : Warrant(it->second.stamp.get());
+}
+
+Holder::Holding Holder::holding(const ZoneId& zone) const {
+  const auto it = mirror_.records().blocks.find(zone);
+  if (it == mirror_.records().blocks.end()) return Holding::none;
+  const BlockRecord& block = it->second.record;
+  if (block.holder != settings_.node || block.nonce != election_.nonce()) return Holding::none;
+  // What the holder before us committed must be in the mirror before we act on reports.
+  return mirror_.revision().get() >= it->second.stamp.get() ? Holding::held : Holding::settling;
+}
+
+void Holder::take_blocks() {
+  for (const auto& [zone, stored] : mirror_.records().blocks) {
+    const BlockRecord& block = stored.record;
+    const bool earlier_life =
+        block.holder == settings_.node && block.nonce != election_.nonce();
+    if (earlier_life && election_.block_permit() != Permit{}) renew_warrant(zone);
+    const Warrant now(stored.stamp.get());
+    if (holders_[zone] != block.holder) {
+      holders_[zone] = block.holder;
+      strays_.erase(zone);
+    }
+    if (holding(zone) == Holding::none) {
+      if (warrants_.erase(zone) > 0) {
+        std::erase_if(workers_, [&](const auto& entry) { return entry.second.zone == zone; });
+        spdlog::info("holder: block {} is held elsewhere", zone.get());
+      }
+    } else if (holding(zone) == Holding::held && warrants_[zone] != now) {
+      const bool fresh = warrants_[zone] == Warrant{};
+      warrants_[zone] = now;
+      if (!fresh) continue;
+      spdlog::info("holder: block {} is ours, warrant {}", zone.get(), now.get());
+      // Workers of a holder that is gone are told at once who speaks for the block now.
+      for (const auto& [host, machine] : mirror_.records().machines) {
+        if (machine.record.zone != zone || machine.record.state >= MachineState::deleting) continue;
+        Worker& worker = workers_[host];
+        worker.zone = zone;
+        worker.heard = clock_.steady();
+        worker.view.address = machine.record.address;
+        wake_.insert(host);
+      }
+      for (const auto& [key, slice] : mirror_.records().slices) dirty_.insert(key);
+    }
+  }
+}
+
+void Holder::renew_warrant(const ZoneId& zone) {
+  const std::string key = keys::block(zone);
+  const auto it = mirror_.records().blocks.find(zone);
+  if (it == mirror_.records().blocks.end() || taking_.contains(key)) return;
+  taking_.insert(key);
+  Txn txn;
+  txn.guard(key, it->second.stamp);
+  txn.put(key,
+          encode(BlockRecord{zone, settings_.node, election_.nonce(),
+                             it->second.record.generation + 1}),
+          election_.block_permit());
+  mirror_.commit(Rank::lease, std::move(txn), [this, key](const CommitResult&) {
+    taking_.erase(key);
+    if (!round_timer_.pending()) round_timer_.start(kCoalesce);
+  });
+}
+
+Span Holder::answer_limit() const {
+  return settings_.workers.cancel - settings_.workers.lease - kCancelMargin;
+}
+
+void Holder::extend_freshness(Steady until) { extended_fresh_ = std::max(extended_fresh_, until); }
+
+std::vector<ZoneId> Holder::complaints() {
+  std::vector<ZoneId> out;
+  const Steady now = clock_.steady();
+  for (auto& [zone, hosts] : strays_) {
+    std::size_t again = 0;
+    for (auto& [host, times] : hosts) {
+      std::erase_if(times, [&](Steady t) { return now - t > kStrayWindow; });
+      if (times.size() >= 2) ++again;
+    }
+    std::erase_if(hosts, [](const auto& entry) { return entry.second.empty(); });
+    if (again >= 2 && holding(zone) == Holding::none) out.push_back(zone);
+  }
+  return out;
+}
+
+HelloAnswer Holder::hello(std::string_view body) {
+  const auto report = parse_report(body);
+  if (!report) return {400, R"({"error":"malformed report"})"};
+  const Steady now = clock_.steady();
+  const auto redirect = [&]() -> HelloAnswer {
+    const auto it = mirror_.records().blocks.find(report->district);
+    const bool known = mirror_.ready() && it != mirror_.records().blocks.end() &&
+                       it->second.record.holder != settings_.node;
+    if (!known) return {421, "{}"};
+    auto& seen = strays_[report->district][report->host];
+    if (seen.size() < 8) seen.push_back(now);
+    json::Writer out;
+    out.open().put("steward", it->second.record.holder.get()).close();
+    return {421, out.str()};
+  };
+  const Steady fresh = std::max(mirror_.fresh_until(), extended_fresh_);
+  // Without contact to the state service a cancellation may have been accepted that we can't see;
+  // answering would keep the worker's lease, and the cancelled task, alive for too long.
+  const bool current = mirror_.ready() && now - fresh < answer_limit();
+  if (!current || holding(report->district) != Holding::held) return redirect();
+  take_blocks();
+  const Warrant warrant = warrant_of(report->district);
+  if (report->warrant > warrant) return {421, "{}"};  // another holds the block by now
+
+  Worker& worker = workers_[report->host];
+  worker.zone = report->district;
+  worker.heard = now;
+  worker.introduced = warrant;
+  const bool newer = absorb(worker, *report);
+  if (!newer) return {200, write_answer(warrant, {})};
+  note_machine(*report, worker);
+  auto orders = orders_for(report->host, worker, true);
+  for (const Order& order : orders) {
+    if (order.verb == Verb::start) {
+      worker.view.answered_starts[{order.id, order.attempt}] = report->tally;
+    }
+  }
+  return {200, write_answer(warrant, orders)};
+}
+
+bool Holder::absorb(Worker& worker, const Report& report) {
+  if (!worker.view.take(report)) return false;
+  worker.view.prune();
+  worker.recall.reset();
+  if (report.recall) worker.recall = clock_.wall() + *report.recall;
+  bool news = false;
+  for (const auto& [key, task] : worker.view.tasks) {
+    const TaskRecord* record = mirror_.records().task(key.first);
+    if (record == nullptr || record->state != TaskState::bound || record->attempt != key.second ||
+        record->host != report.host) {
+      continue;
+    }
+    const bool started = task.status == TaskStatus::running && record->running.ms == 0;
+    if (task.status == TaskStatus::ended || started) {
+      dirty_.insert({key.first.uid, key.first.part / kSliceTasks});
+      news = true;
+    }
+  }
+  // Bound tasks that the report lacks are looked at as well.
+  const auto placed = mirror_.records().placed.find(report.host);
+  if (placed != mirror_.records().placed.end()) {
+    for (const auto& [id, attempt] : placed->second) {
+      if (reported(worker.view, id, attempt) != nullptr) continue;
+      dirty_.insert({id.uid, id.part / kSliceTasks});
+      news = true;
+    }
+  }
+  if (news && !round_timer_.pending()) round_timer_.start(kCoalesce);
+  return true;
+}
+
+void Holder::note_machine(const Report& report, Worker& worker) {
+  const auto it = mirror_.records().machines.find(report.host);
+  if (it == mirror_.records().machines.end()) {
+    const std::string key = keys::machine(report.host);
+    if (!taking_.insert(key).second) return;
+    MachineRecord record;
+    record.host = report.host;
+    record.address = report.address;
+    record.build = report.build;
+    record.zone = report.district;
+    record.spot = report.loaners;
+    record.since = clock_.wall();
+    record.recall = worker.recall;
+    if (worker.recall) record.state = MachineState::draining;
+    Txn txn;
+    txn.guard(keys::block(report.district), Stamp(warrant_of(report.district).get()));
+    txn.guard(key, Stamp{}).put(key, encode(record));
+    mirror_.commit(Rank::binding, std::move(txn),
+                   [this, key](const CommitResult&) { taking_.erase(key); });
+    return;
+  }
+  const MachineRecord& record = it->second.record;
+  if (worker.recall && (record.state == MachineState::up || record.state == MachineState::silent)) {
+    put_machine(report.host, MachineState::draining, "the cloud takes it back");
+  } else if (record.state == MachineState::silent) {
+    put_machine(report.host, MachineState::up, "reports again");
+  }
+}
+
+void Holder::put_machine(const HostId& host, MachineState state, const char* why, Uid blamed) {
+  const auto it = mirror_.records().machines.find(host);
+  const std::string key = keys::machine(host);
+  if (it == mirror_.records().machines.end() || it->second.record.state == state ||
+      it->second.record.state >= MachineState::deleting || !taking_.insert(key).second) {
+    return;
+  }
+  spdlog::info("holder: {} is {}: {}", host.get(), name_of(state), why);
+  MachineRecord record = it->second.record;
+  record.state = state;
+  record.since = clock_.wall();
+  record.blamed = std::move(blamed);
+  const auto worker = workers_.find(host);
+  if (worker != workers_.end() && worker->second.recall) record.recall = worker->second.recall;
+  Txn txn;
+  txn.guard(keys::block(record.zone), Stamp(warrant_of(record.zone).get()));
+  txn.guard(key, it->second.stamp).put(key, encode(record));
+  mirror_.commit(Rank::binding, std::move(txn),
+                 [this, key](const CommitResult&) { taking_.erase(key); });
+}
+
+void Holder::round() {
+  if (!mirror_.ready()) return;
+  take_blocks();
+  const Steady until = clock_.steady() + settings_.tuning.round_budget;
+  // Slices are taken one by one; what the budget leaves stays in the set for the next round.
+  std::vector<SliceKey> later;
+  while (!dirty_.empty()) {
+    const SliceKey key = *dirty_.begin();
+    dirty_.erase(dirty_.begin());
+    if (committing_.contains(key)) {
+      later.push_back(key);
+    } else {
+      decide_slice(key);
+    }
+    if (clock_.steady() >= until) break;
+  }
+  const bool more = !dirty_.empty();
+  // A slice whose commit is on its way comes back with the commit's answer.
+  for (const SliceKey& key : later) dirty_.insert(key);
+  std::set<HostId> wake;
+  wake.swap(wake_);
+  for (const HostId& host : wake) direct(host);
+  if (more && !round_timer_.pending()) round_timer_.start(kCoalesce);
+}
+
+bool Holder::takes(const HostId& host, const JobSpec& job,
+                   const std::unordered_map<HostId, Room>& promised) const {
+  const auto& records = mirror_.records();
+  const auto machine = records.machines.find(host);
+  const auto worker = workers_.find(host);
+  if (machine == records.machines.end() || worker == workers_.end()) return false;
+  if (machine->second.record.state != MachineState::up || worker->second.recall) return false;
+  if (worker->second.view.tenure == Tenure{}) return false;  // not heard from under this warrant
+  const MachineType* type = records.type(machine->second.record.build);
+  if (type == nullptr) return false;
+  PlanMachine rules;
+  rules.build = machine->second.record.build;
+  rules.zone = machine->second.record.zone;
+  rules.spot = machine->second.record.spot;
+  rules.room = type->room;
+  if (!Profile::allowed(job, rules)) return false;
+  Room left = type->room;
+  if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
+    for (const auto& [id, attempt] : placed->second) {
+      const TaskRecord* task = records.task(id);
+      const JobRecord* other = records.job(id.uid);
+      if (task == nullptr || other == nullptr || task->state != TaskState::bound) continue;
+      left -= other->spec.need;
+    }
+  }
+  if (const auto more = promised.find(host); more != promised.end()) left -= more->second;
+  return fits(job.need, left);
+}
+
+std::optional<HostId> Holder::choose_host(const TaskRecord& task, const JobSpec& job,
+                                          const std::unordered_map<HostId, Room>& promised) {
+  if (takes(task.host, job, promised)) return task.host;
+  // Room that the leader promised to others must stay: only a machine with nothing released on it
+  // may stand in for one that has become unfit.
+  for (const auto& [host, machine] : mirror_.records().machines) {
+    if (machine.record.zone != task.zone || mirror_.records().placed.contains(host)) continue;
+    if (takes(host, job, promised)) return host;
+  }
+  return std::nullopt;
+}
+
+void Holder::bind(const SliceRecord& slice, std::size_t index, TaskRecord& task, const JobSpec& job,
+                  std::unordered_map<HostId, Room>& promised) {
+  const auto host = choose_host(task, job, promised);
+  const Wall now = clock_.wall();
+  if (!host) {
+    // The machine that the leader meant may be about to report; its room may be about to show.
+    if (now - task.since < Span{3000}) return;
+    spdlog::info("holder: no room for {}/{} on {}: given back", slice.uid.get(),
+                 slice.first_part() + index, task.host.get());
+    task.state = TaskState::idle;
+    task.zone = ZoneId{};
+    task.host = HostId{};
+    task.since = now;
+    return;
+  }
+  promised[*host] += job.need;
+  task.state = TaskState::bound;
+  task.host = *host;
+  task.tenure = workers_.at(*host).view.tenure;
+  task.since = now;
+}
+
+void Holder::finish(const TaskId& id, TaskRecord& task, const JobSpec& job,
+                    const std::string& cause, bool saved) {
+  if (cause == "error" && task.faults == 0) {
+    // Mostly the machine is faulty, yet a job with a mistake fails everywhere: the machine takes
+    // nothing new until the task's next try elsewhere has told whose fault it was.
+    put_machine(task.host, MachineState::suspect, "a task failed on it", id.uid);
+  }
+  spdlog::debug("holder: {} try {} on {} ended: {}{}", id.str(), task.attempt.get(),
+                task.host.get(), cause, saved ? ", saved" : "");
+  apply_end(task, job, cause, saved, clock_.wall());
+}
+
+void Holder::judge(const TaskId& id, TaskRecord& task, const JobSpec& job) {
+  const auto& records = mirror_.records();
+  const auto machine = records.machines.find(task.host);
+  if (machine != records.machines.end() && machine->second.record.state == MachineState::gone) {
+    finish(id, task, job, "machine gone", false);
+    return;
+  }
+  const auto worker = workers_.find(task.host);
+  if (worker == workers_.end()) return;
+  const WorkerView& view = worker->second.view;
+  const bool unwanted = task.stop || records.job(id.uid)->cancelled;
+  switch (examine(id, task, view, warrant_of(task.zone))) {
+    case Finding::ended: {
+      const ReportedTask* there = reported(view, id, task.attempt);
+      finish(id, task, job, there->cause, there->saved);
+      break;
+    }
+    case Finding::lost:
+      finish(id, task, job, "lease lost", false);
+      break;
+    case Finding::never_here:
+      if (unwanted) finish(id, task, job, "never started", false);
+      break;
+    case Finding::present:
+      if (task.running.ms == 0 &&
+          reported(view, id, task.attempt)->status == TaskStatus::running) {
+        task.running = clock_.wall();
+      }
+      break;
+    case Finding::absent: {
+      // A start sent to /orders may still arrive: only a higher warrant ends that.
+      const bool direct = view.direct_starts.contains({id, task.attempt});
+      if (unwanted && direct) wants_renewal_.insert(task.zone);
+      break;
+    }
+  }
+}
+
+bool stop_broken_gang(SliceRecord& slice) {
+  const bool broken = std::any_of(slice.tasks.begin(), slice.tasks.end(), [](const TaskRecord& t) {
+    return t.state == TaskState::idle;
+  });
+  bool changed = false;
+  for (TaskRecord& task : slice.tasks) {
+    if (!broken || !task.placed() || task.stop) continue;
+    task.stop = StopOrder{Span{0}, "its gang lost a task"};
+    changed = true;
+  }
+  return changed;
+}
+
+bool Holder::decide_slice(const SliceKey& key) {
+  const auto& records = mirror_.records();
+  const auto* stored = records.slice(key.first, key.second);
+  const auto job_entry = records.jobs.find(key.first);
+  if (stored == nullptr || job_entry == records.jobs.end()) return false;
+  const JobRecord& job = job_entry->second.record;
+  SliceRecord slice = stored->record;
+  std::set<ZoneId> zones;
+  std::unordered_map<HostId, Room> promised;
+  bool changed = false;
+
+  for (std::size_t i = 0; i < slice.tasks.size(); ++i) {
+    TaskRecord& task = slice.tasks[i];
+    if (!task.placed() || holding(task.zone) != Holding::held) continue;
+    const TaskId id{slice.uid, slice.first_part() + static_cast<std::uint32_t>(i)};
+    const TaskRecord before = task;
+    const ZoneId zone = task.zone;
+    if (task.state == TaskState::released) {
+      if (job.cancelled || task.stop) {
+        // No start is sent before the binding is committed, so there is nothing to wait for.
+        apply_end(task, job.spec, "never bound", false, clock_.wall());
+      } else {
+        bind(slice, i, task, job.spec, promised);  // what has no room yet is tried at each sweep
+      }
+    } else {
+      judge(id, task, job.spec);
+    }
+    if (task.state != before.state || task.running != before.running || task.host != before.host) {
+      changed = true;
+      zones.insert(zone);
+    }
+  }
+  if (job.spec.gang()) {
+    const auto is_done = [](const TaskRecord& t) { return t.state == TaskState::done; };
+    if (std::any_of(slice.tasks.begin(), slice.tasks.end(), is_done)) {
+      // A gang completes together: one done, all done.
+      for (TaskRecord& task : slice.tasks) {
+        if (is_done(task)) continue;
+        apply_end(task, job.spec, "done", false, clock_.wall());
+        changed = true;
+      }
+    } else if (stop_broken_gang(slice)) {
+      changed = true;
+    }
+  }
+  if (!changed) return false;
+
+  Txn txn;
+  // A binding of a holder that was replaced, or for a job cancelled meanwhile, must fail.
+  for (const ZoneId& zone : zones) {
+    txn.guard(keys::block(zone), Stamp(warrant_of(zone).get()));
+  }
+  txn.guard(keys::job(key.first), job_entry->second.stamp);
+  txn.guard(keys::slice(key.first, key.second), stored->stamp);
+  const bool whole = slice_count(job.spec) == 1 && slice.all_done();
+  if (whole) {
+    FinalRecord final_record{key.first,    FinalState::done, job.spec.parts, job.accepted,
+                             clock_.wall(), {}};
+    if (const auto grant = records.grants.find(key.first); grant != records.grants.end()) {
+      final_record.notes = grant->second.record.notes;
+      txn.remove(keys::grant(key.first));
+    }
+    txn.put(keys::final_job(key.first), encode(final_record));
+    txn.remove(keys::job(key.first)).remove(keys::slice(key.first, key.second));
+  } else {
+    txn.put(keys::slice(key.first, key.second), encode(slice));
+  }
+  committing_.insert(key);
+  mirror_.commit(Rank::binding, std::move(txn), [this, key](const CommitResult& r) {
+    committing_.erase(key);
+    // Whatever became of it is decided anew from the records; an unknown commit can't pass twice,
+    // since each is guarded by the slice's own stamp.
+    dirty_.insert(key);
+    if (!round_timer_.pending()) round_timer_.start(r.fate == Fate::done ? kCoalesce : Span{150});
+  });
+  return true;
+}
+
+std::vector<Order> Holder::orders_for(const HostId& host, Worker& worker, bool in_answer) {
+  std::vector<Order> out;
+  const auto& records = mirror_.records();
+  const Steady now = clock_.steady();
+  const Warrant current = warrant_of(worker.zone);
+  const WorkerView& view = worker.view;
+  if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
+    for (const auto& [id, attempt] : placed->second) {
+      const TaskRecord* task = records.task(id);
+      const JobRecord* job = records.job(id.uid);
+      if (task == nullptr || job == nullptr || task->state != TaskState::bound) continue;
+      if (task->tenure != view.tenure || out.size() >= kMostOrders) continue;
+      const ReportedTask* there = reported(view, id, attempt);
+      if (job->cancelled || task->stop) {
+        if (there == nullptr || there->status == TaskStatus::ended) continue;
+        const Span leeway = job->cancelled ? Span{0} : task->stop->leeway;
+        if (there->status == TaskStatus::flushing && leeway > Span{0}) continue;
+        auto& last = worker.kills[{id, attempt}];
+        if (!in_answer && now - last < kKillEvery) continue;
+        last = now;
+        out.push_back({Verb::kill, id, attempt, leeway});
+      } else if (there == nullptr && !committing_.contains({id.uid, id.part / kSliceTasks})) {
+        const auto direct = view.direct_starts.find({id, attempt});
+        if (!in_answer && direct != view.direct_starts.end()) continue;  // once, then by answers
+        out.push_back({Verb::start, id, attempt, {}});
+      }
+    }
+  }
+  for (const auto& [key, task] : view.tasks) {
+    if (out.size() >= kMostOrders) break;
+    const auto& [id, attempt] = key;
+    const TaskRecord* record = records.task(id);
+    const bool bound_here = record != nullptr && record->placed() && record->host == host &&
+                            record->attempt == attempt;
+    if (bound_here) continue;
+    if (task.status != TaskStatus::ended) {
+      // Nothing is meant to run here under this attempt: a gang's peer after its end, or a start
+      // that came too late.
+      auto& last = worker.kills[key];
+      if (now - last < kKillEvery) continue;
+      last = now;
+      if (in_answer) out.push_back({Verb::kill, id, attempt, {}});
+    } else if (in_answer) {
+      // After a clear the worker would start a late or repeated start order once more.
+      if (view.start_settled(id, attempt, current)) {
+        out.push_back({Verb::clear, id, attempt, {}});
+      } else if (view.direct_starts.contains(key)) {
+        wants_renewal_.insert(worker.zone);
+      }
+    }
+  }
+  std::erase_if(worker.kills, [&](const auto& entry) {
+    return now - entry.second > Span{60'000};
+  });
+  return out;
+}
+
+void Holder::direct(const HostId& host) {
+  const auto it = workers_.find(host);
+  if (it == workers_.end()) return;
+  Worker& worker = it->second;
+  if (holding(worker.zone) != Holding::held || worker.direct_busy) return;
+  if (clock_.steady() - std::max(mirror_.fresh_until(), extended_fresh_) >= answer_limit()) return;
+  auto orders = orders_for(host, worker, false);
+  const Steady now = clock_.steady();
+  const bool introduce = worker.introduced == Warrant{} &&
+                         now - worker.last_introduction >= kIntroduceEvery;
+  if (orders.empty() && !introduce) return;
+  worker.last_introduction = now;
+  send_direct(host, worker, std::move(orders));
+}
+
+void Holder::send_direct(const HostId& host, Worker& worker, std::vector<Order> orders) {
+  const Warrant warrant = warrant_of(worker.zone);
+  for (const Order& order : orders) {
+    if (order.verb == Verb::start) {
+      worker.view.direct_starts[{order.id, order.attempt}] = warrant;
+    }
+  }
+  worker.direct_busy = true;
+  orders_.send(worker.view.address, write_direct(warrant, worker.view.tenure, orders),
+               [this, host, warrant](const HttpReply& reply) {
+                 const auto it = workers_.find(host);
+                 if (it == workers_.end()) return;
+                 it->second.direct_busy = false;
+                 if (reply.status == 200) it->second.introduced = warrant;
+                 if (reply.status == 200 || reply.status == 409) {
+                   const auto report = parse_report(reply.body);
+                   if (report && holding(it->second.zone) == Holding::held) {
+                     // The answer of 409 tells the session; then the order can be given.
+                     if (it->second.view.tenure == Tenure{}) wake_.insert(host);
+                     it->second.last_introduction = Steady{-1'000'000};
+                     it->second.heard = clock_.steady();
+                     absorb(it->second, *report);
+                     note_machine(*report, it->second);
+                   }
+                 }
+                 if (reply.status == 200) wake_.insert(host);
+                 if (reply.status != 0 && !round_timer_.pending()) round_timer_.start(kCoalesce);
+               });
+}
+
+void Holder::sweep() {
+  sweep_timer_.start(kSweep);
+  if (!mirror_.ready()) return;
+  const auto& records = mirror_.records();
+  const Steady now = clock_.steady();
+  for (const ZoneId& zone : wants_renewal_) {
+    if (holding(zone) != Holding::held) continue;
+    auto& last = warrant_renewed_[zone];
+    if (now - last < kRenewEvery) continue;
+    last = now;
+    renew_warrant(zone);
+  }
+  std::erase_if(wants_renewal_, [&](const ZoneId& zone) {
+    return warrant_renewed_.contains(zone) && warrant_renewed_[zone] == now;
+  });
+
+  // Machines that have stopped reporting. When none of a block reports, the fault may be ours.
+  const Span silence = settings_.workers.report * 2.5;
+  std::map<ZoneId, std::pair<int, int>> heard;  // of all, how many lately
+  for (const auto& [host, machine] : records.machines) {
+    const auto worker = workers_.find(host);
+    if (worker == workers_.end() || holding(machine.record.zone) != Holding::held) continue;
+    auto& [all, lately] = heard[machine.record.zone];
+    ++all;
+    if (now - worker->second.heard < silence) ++lately;
+  }
+  for (const auto& [host, machine] : records.machines) {
+    if (machine.record.state != MachineState::up && machine.record.state != MachineState::draining) {
+      continue;
+    }
+    const auto worker = workers_.find(host);
+    if (worker == workers_.end() || holding(machine.record.zone) != Holding::held) continue;
+    if (now - worker->second.heard < silence || heard[machine.record.zone].second == 0) continue;
+    put_machine(host, MachineState::silent, "does not report");
+  }
+  std::erase_if(workers_, [&](const auto& entry) {
+    const auto machine = records.machines.find(entry.first);
+    const bool gone = machine == records.machines.end()
+                          ? now - entry.second.heard > Span{30'000}
+                          : machine->second.record.state == MachineState::gone;
+    return gone && !entry.second.direct_busy;
+  });
+  for (const auto& [host, worker] : workers_) {
+    if (worker.introduced == Warrant{}) wake_.insert(host);
+  }
+  for (const auto& [host, placed] : records.placed) {
+    for (const auto& [id, attempt] : placed) {
+      const TaskRecord* task = records.task(id);
+      if (task != nullptr && (task->stop || task->state == TaskState::released)) {
+        dirty_.insert({id.uid, id.part / kSliceTasks});
+        wake_.insert(host);
+      }
+      const JobRecord* job = records.job(id.uid);
+      if (job != nullptr && job->cancelled) wake_.insert(host);
+    }
+  }
+  if (!round_timer_.pending()) round_timer_.start(kCoalesce);
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/blocks/holder.hpp
@@ -0,0 +1,120 @@
+// A block's holder: answers its workers' reports, binds released tasks, sends orders, and commits
+// what the reports prove.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "app/settings.hpp"
+#include "blocks/proof.hpp"
+#include "election/election.hpp"
+#include "net/http_server.hpp"
+#include "planner/profile.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+/// The way to a worker's own address.
+class OrderSender {
+ public:
+  virtual ~OrderSender() = default;
+  /// POST /orders; status 0: no answer.
+  virtual void send(const std::string& address, std::string body, HttpHandler then) = 0;
+};
+
+class HttpOrderSender : public OrderSender {
+ public:
+  explicit HttpOrderSender(Loop& loop) : loop_(loop) {}
+  void send(const std::string& address, std::string body, HttpHandler then) override;
+
+ private:
+  Loop& loop_;
+  std::map<std::string, std::unique_ptr<HttpClient>> clients_;
+};
+
+/// The answer to a report: 200 with orders, or 421 with or without the holder's name.
+struct HelloAnswer {
+  int status = 421;
+  std::string body;
+};
+
+/// Stops what is left of a gang that lost a task; true when that changed the slice.
+bool stop_broken_gang(SliceRecord& slice);
+
+class Holder {
+ public:
+  Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+         Election& election, OrderSender& orders);
+
+  void begin();
+  HelloAnswer hello(std::string_view body);
+
+  /// Zones whose workers come here again and again though another controller holds the block.
+  [[nodiscard]] std::vector<ZoneId> complaints();
+  /// The latest moment up to which no cancellation can have been accepted that we do not know of.
+  void extend_freshness(Steady until);
+
+ private:
+  enum class Holding { none, settling, held };
+
+  struct Worker {
+    WorkerView view;
+    ZoneId zone;
+    Steady heard;
+    bool direct_busy = false;
+    std::vector<Order> direct_queue;
+    std::map<std::pair<TaskId, Attempt>, Steady> kills;  // last sent
+    std::optional<Wall> recall;
+    Warrant introduced;  // the warrant under which it is known to have heard of us
+    Steady last_introduction{-1'000'000};
+  };
+
+  void take_blocks();
+  void renew_warrant(const ZoneId& zone);
+  [[nodiscard]] Holding holding(const ZoneId& zone) const;
+  [[nodiscard]] Warrant warrant_of(const ZoneId& zone) const;
+  void round();
+  void sweep();
+  bool decide_slice(const SliceKey& key);
+  void bind(const SliceRecord& slice, std::size_t index, TaskRecord& task, const JobSpec& job,
+            std::unordered_map<HostId, Room>& promised);
+  [[nodiscard]] std::optional<HostId> choose_host(const TaskRecord& task, const JobSpec& job,
+                                                  const std::unordered_map<HostId, Room>& promised);
+  [[nodiscard]] bool takes(const HostId& host, const JobSpec& job,
+                           const std::unordered_map<HostId, Room>& promised) const;
+  void judge(const TaskId& id, TaskRecord& task, const JobSpec& job);
+  void finish(const TaskId& id, TaskRecord& task, const JobSpec& job, const std::string& cause,
+              bool saved);
+  std::vector<Order> orders_for(const HostId& host, Worker& worker, bool in_answer);
+  void direct(const HostId& host);
+  void send_direct(const HostId& host, Worker& worker, std::vector<Order> orders);
+  bool absorb(Worker& worker, const Report& report);
+  void note_machine(const Report& report, Worker& worker);
+  void put_machine(const HostId& host, MachineState state, const char* why, Uid blamed = {});
+  [[nodiscard]] Span answer_limit() const;
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Mirror& mirror_;
+  Election& election_;
+  OrderSender& orders_;
+  std::map<ZoneId, Warrant> warrants_;        // as of the last take_blocks
+  std::unordered_map<HostId, Worker> workers_;
+  std::set<SliceKey> dirty_;
+  std::set<SliceKey> committing_;
+  std::set<HostId> wake_;                     // hosts with orders to send at once
+  std::set<std::string> taking_;              // blocks and machines with a commit on its way
+  std::map<ZoneId, Steady> warrant_renewed_;
+  std::set<ZoneId> wants_renewal_;
+  std::map<ZoneId, NodeId> holders_;          // whose each block was when last looked at
+  std::map<ZoneId, std::map<HostId, std::vector<Steady>>> strays_;
+  Steady extended_fresh_{};
+  Timer round_timer_;
+  Timer sweep_timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/blocks/proof.hpp
@@ -0,0 +1,55 @@
+// What a worker's report proves about a task that is bound to its machine. Pure: the rules about
+// late commands and silence live here.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "store/records.hpp"
+#include "wire/worker.hpp"
+
+namespace marblevale {
+
+/// What this controller knows of one worker, from reports received while it holds the block.
+struct WorkerView {
+  std::string address;
+  Tenure tenure;
+  Tally tally;
+  Warrant warrant;  // highest that the worker said it has seen
+  std::map<std::pair<TaskId, Attempt>, ReportedTask> tasks;
+  /// Starts that were sent to `/orders` and the warrant they bore. Such a start may arrive minutes
+  /// late, or twice, until the worker has seen a higher warrant or begun another session.
+  std::map<std::pair<TaskId, Attempt>, Warrant> direct_starts;
+  /// Starts given in the answer to a report, and that report's tally. The worker executes or drops
+  /// the answer before its next report.
+  std::map<std::pair<TaskId, Attempt>, Tally> answered_starts;
+
+  /// Takes a report in; false when it is not newer than what is known.
+  bool take(const Report& report);
+  /// True when no start of this attempt that was sent can still be executed there. `current` is the
+  /// warrant that we hold: below it, earlier holders' orders may still be on their way.
+  [[nodiscard]] bool start_settled(const TaskId& id, Attempt attempt, Warrant current) const;
+  /// Forgets starts that can't be executed any more.
+  void prune();
+};
+
+enum class Finding {
+  present,     // on the machine, in some state
+  ended,       // exited there; see the reported task
+  lost,        // proof: gone, without an exit to read
+  never_here,  // proof: not there, and no start can arrive any more
+  absent       // not there, but a start may still arrive, or is yet to be sent
+};
+
+/// `task` is bound to this worker's machine.
+Finding examine(const TaskId& id, const TaskRecord& task, const WorkerView& worker,
+                Warrant current);
+
+/// The reported task, if it is this attempt.
+const ReportedTask* reported(const WorkerView& worker, const TaskId& id, Attempt attempt);
+
+/// What an end does to a task's record. `elapsed`: how long it had been running.
+void apply_end(TaskRecord& task, const JobSpec& job, const std::string& cause, bool saved,
+               Wall now);
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/election/election.hpp
@@ -0,0 +1,58 @@
+// Leader and liveness: this controller's session with the state service, and who leads.
+#pragma once
+
+#include <functional>
+#include <random>
+
+#include "app/settings.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+class Election {
+ public:
+  enum class State { joining, follower, standing, leading };
+
+  Election(Loop& loop, const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
+           Nonce nonce);
+
+  void begin();
+  [[nodiscard]] State state() const { return state_; }
+  /// The stamp of our own leadership; only while leading.
+  [[nodiscard]] Stamp term() const { return term_; }
+  /// Leading, and every commit of earlier leaders is in the mirror.
+  [[nodiscard]] bool in_charge() const;
+  [[nodiscard]] Nonce nonce() const { return nonce_; }
+  [[nodiscard]] Permit block_permit() const { return block_permit_; }
+
+  /// Puts the leader's guard on a transaction.
+  void guard(Txn& txn) const { txn.guard(keys::kLeader, term_); }
+
+ private:
+  void transition(State next, const char* why);
+  void open_session();
+  void open_block_lease();
+  void touch();
+  void touch_blocks();
+  void consider();
+  void announce();
+  void stand(Stamp over);
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Store& store_;
+  Mirror& mirror_;
+  Nonce nonce_;
+  std::mt19937_64 random_;
+  State state_ = State::joining;
+  Stamp term_;
+  Permit session_;
+  Permit block_permit_;
+  bool announcing_ = false;
+  Backoff backoff_;
+  Timer session_timer_;
+  Timer block_timer_;
+  Timer consider_timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/fleet/demand.hpp
@@ -0,0 +1,39 @@
+// What to rent for the work that waits. Pure.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "planner/profile.hpp"
+#include "wire/cloud.hpp"
+
+namespace marblevale {
+
+/// A kind of machine that can be rented.
+struct Offer {
+  std::string build;
+  ZoneId zone;
+  bool spot = false;
+  auto operator<=>(const Offer&) const = default;
+};
+
+/// Work that would wait longer than a new machine takes to come up.
+struct Wanting {
+  const JobSpec* job = nullptr;
+  std::uint32_t tasks = 0;
+  Span run;
+  Span wait;                   // until its planned start
+  std::optional<ZoneId> zone;  // where it must be
+};
+
+/// How many machines of each offer to rent. `available` says whether the cloud may have any;
+/// `in_zone` counts the machines that each zone has; `team_room` is what each team may still take.
+std::map<Offer, std::uint32_t> machines_for(const std::vector<Wanting>& wanting,
+                                            const std::vector<MachineType>& types,
+                                            const std::function<bool(const Offer&)>& available,
+                                            const std::map<ZoneId, std::uint32_t>& in_zone,
+                                            std::map<TeamId, Room> team_room);
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,429 @@
+#include "fleet/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace marblevale {
+
+namespace {
+
+constexpr Span kTick{1000};
+constexpr Span kTypesEvery{60'000};
+constexpr Span kFirstRefusal{8'000};
+constexpr Span kMostRefusal{40'000};
+constexpr Span kTombstone{120'000};  // longer than any list lags
+constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
+constexpr std::size_t kMostDeleted = 50;
+constexpr Span kProvenRun{4'000};   // a task that ran this long elsewhere is not at fault
+constexpr Span kSuspicion{45'000};
+
+}  // namespace
+
+Fleet::Fleet(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+             Election& election, Cloud& cloud)
+    : clock_(clock),
+      settings_(settings),
+      mirror_(mirror),
+      election_(election),
+      cloud_(cloud),
+      random_(election.nonce().get()),
+      tick_timer_(loop, [this] { tick(); }) {}
+
+void Fleet::begin() { tick_timer_.start({50}); }
+
+Span Fleet::boot_time(const std::string& build) const {
+  const MachineType* type = mirror_.records().type(build);
+  return type == nullptr ? Span{60'000} : type->boot;
+}
+
+bool Fleet::available(const Offer& offer) const {
+  const auto it = refused_.find(offer);
+  return it == refused_.end() || it->second.until <= clock_.steady();
+}
+
+std::vector<Booting> Fleet::booting() const {
+  std::vector<Booting> out;
+  const auto& records = mirror_.records();
+  const Wall now = clock_.wall();
+  for (const auto& [name, hire] : records.hires) {
+    for (const HostId& host : hire.record.hosts) {
+      if (records.machines.contains(host)) continue;
+      const Span boot = boot_time(hire.record.build);
+      // One that is late is expected soon, until it is given up.
+      const Wall likely = std::max(hire.record.asked + boot * 1.1, now + Span{5'000});
+      out.push_back({host, {hire.record.build, hire.record.zone, hire.record.spot}, likely});
+    }
+  }
+  return out;
+}
+
+void Fleet::plan(std::vector<Wanting> wanting, std::map<TeamId, Room> team_room,
+                 std::set<HostId> in_use) {
+  // The jobs are copied: the records may change before the next tick.
+  wanting_jobs_.clear();
+  wanting_ = std::move(wanting);
+  for (Wanting& w : wanting_) {
+    w.job = &wanting_jobs_.emplace(w.job->uid.get(), *w.job).first->second;
+  }
+  team_room_ = std::move(team_room);
+  in_use_ = std::move(in_use);
+}
+
+void Fleet::tick() {
+  tick_timer_.start(kTick);
+  if (!election_.in_charge()) {
+    in_charge_ = false;
+    return;
+  }
+  if (!in_charge_) {
+    in_charge_ = true;
+    charge_since_ = clock_.steady();
+    idle_since_.clear();
+    listed_.clear();
+    last_seen_.clear();
+    asking_.clear();
+    marking_.clear();
+    wanting_.clear();
+  }
+  refresh_types();
+  refresh_list();
+  pursue_hires();
+  pursue_machines();
+  pursue_deletions();
+  rent();
+  forget_old();
+}
+
+void Fleet::refresh_types() {
+  const Steady now = clock_.steady();
+  if (types_asked_ || (mirror_.records().types && now - types_at_ < kTypesEvery)) return;
+  types_asked_ = true;
+  cloud_.types([this](std::optional<std::vector<MachineType>> types) {
+    types_asked_ = false;
+    if (!types || !election_.in_charge()) return;
+    types_at_ = clock_.steady();
+    const auto& known = mirror_.records().types;
+    const std::string value = encode(*types);
+    if (known && encode(known->record) == value) return;
+    Txn txn;
+    election_.guard(txn);
+    txn.put(keys::kTypes, value);
+    mirror_.commit(Rank::granting, std::move(txn), [](const CommitResult&) {});
+  });
+}
+
+void Fleet::refresh_list() {
+  const Steady now = clock_.steady();
+  const Span every = std::max(Span{2000}, settings_.list_lag * 0.5);
+  if (listing_ || now - list_at_ < every) return;
+  listing_ = true;
+  list_at_ = now;
+  cloud_.list({}, [this, now](std::optional<MachineList> page) {
+    if (!page) {
+      listing_ = false;
+      return;
+    }
+    take_list(*page, now, {});
+  });
+}
+
+void Fleet::take_list(const MachineList& page, Steady sent, std::set<HostId> seen) {
+  for (const ListedMachine& m : page.machines) {
+    listed_[m.host] = {m, clock_.steady()};
+    seen.insert(m.host);
+  }
+  if (page.has_next && !page.machines.empty()) {
+    cloud_.list(page.machines.back().host,
+                [this, sent, seen = std::move(seen)](std::optional<MachineList> next) {
+                  if (!next) {
+                    listing_ = false;
+                    return;
+                  }
+                  take_list(*next, sent, seen);
+                });
+    return;
+  }
+  listing_ = false;
+  last_list_ = sent;
+  last_seen_ = std::move(seen);
+  std::erase_if(listed_, [this](const auto& entry) { return !last_seen_.contains(entry.first); });
+}
+
+void Fleet::ask(const HireRecord& hire, Stamp stamp) {
+  asking_.insert(hire.name);
+  cloud_.hire(hire.name, hire.build, hire.zone, hire.spot, hire.how_many,
+              [this, hire, stamp](HireFate fate, std::vector<HostId> hosts) {
+                const Offer offer{hire.build, hire.zone, hire.spot};
+                if (fate == HireFate::trouble) {
+                  // Unknown: the same name is asked again at a later tick.
+                  asking_.erase(hire.name);
+                  return;
+                }
+                spdlog::info("fleet: {} asked {} {} in {} ({}), got {}", hire.name, hire.how_many,
+                             hire.build, hire.zone.get(), hire.spot ? "spot" : "ordinary",
+                             hosts.size());
+                if (hosts.size() < hire.how_many) {
+                  auto [it, fresh] = refused_.try_emplace(
+                      offer, Refusal{{}, Backoff(kFirstRefusal, kMostRefusal)});
+                  it->second.until = clock_.steady() + it->second.backoff.next(random_);
+                } else {
+                  refused_.erase(offer);
+                }
+                Txn txn;
+                election_.guard(txn);
+                txn.guard(keys::hire(hire.name), stamp);
+                if (hosts.empty()) {
+                  txn.remove(keys::hire(hire.name));
+                } else {
+                  HireRecord answered = hire;
+                  answered.answered = true;
+                  answered.hosts = std::move(hosts);
+                  txn.put(keys::hire(hire.name), encode(answered));
+                }
+                mirror_.commit(Rank::granting, std::move(txn),
+                               [this, name = hire.name](const CommitResult&) {
+                                 asking_.erase(name);
+                               });
+              });
+}
+
+void Fleet::pursue_hires() {
+  for (const auto& [name, hire] : mirror_.records().hires) {
+    if (!hire.record.answered && !asking_.contains(name)) ask(hire.record, hire.stamp);
+  }
+}
+
+void Fleet::rent() {
+  const auto& records = mirror_.records();
+  if (wanting_.empty() || !records.types) return;
+  // One wave of requests at a time: the next is planned with the answers.
+  for (const auto& [name, hire] : records.hires) {
+    if (!hire.record.answered) return;
+  }
+  std::map<ZoneId, std::uint32_t> in_zone;
+  for (const auto& [host, machine] : records.machines) {
+    if (machine.record.state != MachineState::gone) ++in_zone[machine.record.zone];
+  }
+  const auto wanted = machines_for(
+      wanting_, records.types->record, [this](const Offer& o) { return available(o); }, in_zone,
+      team_room_);
+  wanting_.clear();
+  for (const auto& [offer, count] : wanted) {
+    HireRecord hire;
+    hire.name = "h-" + std::to_string(election_.term().get()) + "-" + std::to_string(++serial_);
+    hire.build = offer.build;
+    hire.zone = offer.zone;
+    hire.spot = offer.spot;
+    hire.how_many = count;
+    hire.asked = clock_.wall();
+    Txn txn;
+    election_.guard(txn);
+    txn.guard(keys::hire(hire.name), Stamp{}).put(keys::hire(hire.name), encode(hire));
+    asking_.insert(hire.name);
+    mirror_.commit(Rank::granting, std::move(txn), [this, hire](const CommitResult& r) {
+      asking_.erase(hire.name);
+      // An unknown outcome shows in the mirror, if it happened, and is pursued from there.
+      if (r.fate == Fate::done) ask(hire, Stamp(r.revision.get()));
+    });
+  }
+}
+
+void Fleet::condemn(const HostId& host, const char* why) {
+  const auto& machines = mirror_.records().machines;
+  const auto it = machines.find(host);
+  if (marking_.contains(host)) return;
+  MachineRecord record;
+  Stamp stamp;
+  if (it != machines.end()) {
+    if (it->second.record.state >= MachineState::deleting) return;
+    record = it->second.record;
+    stamp = it->second.stamp;
+  } else if (const auto listed = listed_.find(host); listed != listed_.end()) {
+    record.host = host;
+    record.address = listed->second.machine.address;
+    record.build = listed->second.machine.build;
+    record.zone = listed->second.machine.district;
+    record.spot = listed->second.machine.spot;
+  } else {
+    record.host = host;
+    for (const auto& [name, hire] : mirror_.records().hires) {
+      const auto& hosts = hire.record.hosts;
+      if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) continue;
+      record.build = hire.record.build;
+      record.zone = hire.record.zone;
+      record.spot = hire.record.spot;
+    }
+  }
+  spdlog::info("fleet: {} is to be deleted: {}", host.get(), why);
+  record.state = MachineState::deleting;
+  record.since = clock_.wall();
+  marking_.insert(host);
+  Txn txn;
+  election_.guard(txn);
+  txn.guard(keys::machine(host), stamp).put(keys::machine(host), encode(record));
+  mirror_.commit(Rank::granting, std::move(txn), [this, host](const CommitResult& r) {
+    marking_.erase(host);
+    if (r.fate == Fate::done) pursue_deletions();
+  });
+}
+
+void Fleet::judge_suspect(const MachineRecord& machine, Stamp stamp) {
+  if (marking_.contains(machine.host)) return;
+  const auto& records = mirror_.records();
+  const Wall now = clock_.wall();
+  std::uint32_t faults = 0;
+  bool ran_elsewhere = false;
+  for (auto it = records.slices.lower_bound({machine.blamed, 0});
+       it != records.slices.end() && it->first.first == machine.blamed; ++it) {
+    for (const TaskRecord& task : it->second.record.tasks) {
+      faults += task.faults;
+      const bool lasted = task.running > machine.since && now - task.running > kProvenRun;
+      ran_elsewhere = ran_elsewhere || (task.faults > 0 && task.host != machine.host && lasted) ||
+                      (task.faults > 0 && task.state == TaskState::done);
+    }
+  }
+  MachineRecord verdict = machine;
+  if (ran_elsewhere) {
+    verdict.state = MachineState::quarantined;
+  } else if (faults >= 2 || now - machine.since > kSuspicion) {
+    verdict.state = MachineState::up;
+  } else {
+    return;
+  }
+  spdlog::info("fleet: suspect {} is {}", machine.host.get(), name_of(verdict.state));
+  verdict.since = now;
+  verdict.blamed = Uid{};
+  marking_.insert(machine.host);
+  Txn txn;
+  election_.guard(txn);
+  txn.guard(keys::machine(machine.host), stamp).put(keys::machine(machine.host), encode(verdict));
+  mirror_.commit(Rank::granting, std::move(txn), [this, host = machine.host](const CommitResult&) {
+    marking_.erase(host);
+  });
+}
+
+void Fleet::pursue_machines() {
+  const auto& records = mirror_.records();
+  const Steady now = clock_.steady();
+  const Wall wall = clock_.wall();
+  for (const auto& [host, stored] : records.machines) {
+    const MachineRecord& m = stored.record;
+    const bool listed = last_seen_.contains(host);
+    const bool placed = records.placed.contains(host);
+    switch (m.state) {
+      case MachineState::silent: {
+        // Deleted through the cloud when its worker's lease must be over anyhow, and at once when
+        // the cloud has stopped listing it: only the deletion proves that its tasks are gone.
+        const auto entry = listed_.find(host);
+        const bool failed =
+            entry != listed_.end() && entry->second.machine.status == RentalStatus::failed;
+        const bool taken = failed || (!listed && last_list_ > charge_since_);
+        if (taken || wall - m.since > settings_.workers.lease * 0.8) condemn(host, "silent");
+        break;
+      }
+      case MachineState::suspect:
+        judge_suspect(m, stored.stamp);
+        break;
+      case MachineState::quarantined:
+      case MachineState::draining:
+        if (!placed) condemn(host, "drained");
+        break;
+      case MachineState::up: {
+        const bool idle = !placed && !in_use_.contains(host);
+        if (!idle) {
+          idle_since_.erase(host);
+          break;
+        }
+        const auto since = idle_since_.try_emplace(host, now).first->second;
+        if (now - since > settings_.tuning.idle_return) condemn(host, "idle");
+        break;
+      }
+      case MachineState::deleting:
+      case MachineState::gone:
+        break;
+    }
+  }
+  for (const Booting& b : booting()) {
+    for (const auto& [name, hire] : records.hires) {
+      const auto& hosts = hire.record.hosts;
+      if (std::find(hosts.begin(), hosts.end(), b.host) == hosts.end()) continue;
+      if (wall - hire.record.asked > boot_time(hire.record.build) * kNeverUp) {
+        condemn(b.host, "never came up");
+      }
+    }
+  }
+  for (const auto& [host, entry] : listed_) {
+    if (records.machines.contains(host)) continue;
+    if (entry.machine.status == RentalStatus::failed) condemn(host, "failed");
+    // One that nobody expected, and that never reports: it costs money.
+    if (entry.machine.age > boot_time(entry.machine.build) * kNeverUp * 1.5) {
+      condemn(host, "listed, but does not report");
+    }
+  }
+}
+
+void Fleet::pursue_deletions() {
+  if (deleting_ || !election_.in_charge()) return;
+  std::vector<HostId> hosts;
+  for (const auto& [host, stored] : mirror_.records().machines) {
+    if (stored.record.state == MachineState::deleting && hosts.size() < kMostDeleted) {
+      hosts.push_back(host);
+    }
+  }
+  if (hosts.empty()) return;
+  deleting_ = true;
+  cloud_.remove(hosts, [this, hosts](bool removed) {
+    deleting_ = false;
+    if (!removed || !election_.in_charge()) return;
+    // The answer is the proof that the machines and all their tasks are gone.
+    const std::size_t batch = std::max<std::size_t>(1, settings_.store.txn_ops / 2);
+    for (std::size_t at = 0; at < hosts.size(); at += batch) {
+      Txn txn;
+      election_.guard(txn);
+      for (std::size_t i = at; i < std::min(hosts.size(), at + batch); ++i) {
+        const auto it = mirror_.records().machines.find(hosts[i]);
+        if (it == mirror_.records().machines.end()) continue;
+        MachineRecord record = it->second.record;
+        record.state = MachineState::gone;
+        record.since = clock_.wall();
+        txn.guard(keys::machine(hosts[i]), it->second.stamp);
+        txn.put(keys::machine(hosts[i]), encode(record));
+      }
+      if (!txn.puts.empty()) {
+        mirror_.commit(Rank::binding, std::move(txn), [](const CommitResult&) {});
+      }
+    }
+  });
+}
+
+void Fleet::forget_old() {
+  const auto& records = mirror_.records();
+  const Wall wall = clock_.wall();
+  Txn txn;
+  election_.guard(txn);
+  const std::size_t most = settings_.store.txn_ops;
+  for (const auto& [host, stored] : records.machines) {
+    if (txn.deletes.size() >= most) break;
+    if (stored.record.state != MachineState::gone || wall - stored.record.since < kTombstone) {
+      continue;
+    }
+    if (records.placed.contains(host) || last_seen_.contains(host)) continue;
+    txn.guard(keys::machine(host), stored.stamp).remove(keys::machine(host));
+  }
+  for (const auto& [name, stored] : records.hires) {
+    if (txn.deletes.size() >= most || !stored.record.answered) continue;
+    // Kept while it is the only word of a machine that has not reported.
+    const bool needed = std::any_of(
+        stored.record.hosts.begin(), stored.record.hosts.end(),
+        [&](const HostId& host) { return !records.machines.contains(host); });
+    const bool old = wall - stored.record.asked > boot_time(stored.record.build) * kNeverUp * 4.0;
+    if (needed && !old) continue;
+    txn.guard(keys::hire(name), stored.stamp).remove(keys::hire(name));
+  }
+  if (!txn.deletes.empty()) {
+    mirror_.commit(Rank::granting, std::move(txn), [](const CommitResult&) {});
+  }
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/fleet/fleet.hpp
@@ -0,0 +1,91 @@
+// The leader's duty towards the cloud: machine types, the machine list, renting, and returning
+// machines. Deleting a machine is also the proof that its tasks are gone.
+#pragma once
+
+#include <map>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "app/settings.hpp"
+#include "election/election.hpp"
+#include "fleet/cloud_client.hpp"
+#include "fleet/demand.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+/// A machine that is rented and has not reported yet.
+struct Booting {
+  HostId host;
+  Offer offer;
+  Wall ready;  // likely
+};
+
+class Fleet {
+ public:
+  Fleet(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+        Election& election, Cloud& cloud);
+
+  void begin();
+  [[nodiscard]] std::vector<Booting> booting() const;
+
+  /// What the last round of planning left waiting, and which machines it has a use for.
+  void plan(std::vector<Wanting> wanting, std::map<TeamId, Room> team_room,
+            std::set<HostId> in_use);
+  /// Deletes the machine as soon as can be; the reason is logged and kept in its record's state.
+  void condemn(const HostId& host, const char* why);
+
+ private:
+  struct Refusal {
+    Steady until;
+    Backoff backoff;
+  };
+  struct Listed {
+    ListedMachine machine;
+    Steady seen;
+  };
+
+  void tick();
+  void refresh_types();
+  void refresh_list();
+  void take_list(const MachineList& page, Steady sent, std::set<HostId> seen);
+  void pursue_hires();
+  void pursue_machines();
+  void judge_suspect(const MachineRecord& machine, Stamp stamp);
+  void pursue_deletions();
+  void rent();
+  void ask(const HireRecord& hire, Stamp stamp);
+  void forget_old();
+  [[nodiscard]] bool available(const Offer& offer) const;
+  [[nodiscard]] Span boot_time(const std::string& build) const;
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Mirror& mirror_;
+  Election& election_;
+  Cloud& cloud_;
+  std::mt19937_64 random_;
+  std::uint64_t serial_ = 0;
+  bool types_asked_ = false;
+  bool listing_ = false;
+  bool deleting_ = false;
+  Steady types_at_{-1'000'000};
+  Steady list_at_{-1'000'000};
+  Steady charge_since_{};
+  bool in_charge_ = false;
+  std::map<HostId, Listed> listed_;
+  Steady last_list_{};           // when the last full list was asked for
+  std::set<HostId> last_seen_;   // what it held
+  std::map<Offer, Refusal> refused_;
+  std::set<std::string> asking_;
+  std::set<HostId> marking_;
+  std::map<HostId, Steady> idle_since_;
+  std::vector<Wanting> wanting_;
+  std::map<std::string, JobSpec> wanting_jobs_;
+  std::map<TeamId, Room> team_room_;
+  std::set<HostId> in_use_;
+  Timer tick_timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,126 @@
+#include "net/http_client.hpp"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+namespace marblevale {
+
+struct HttpClient::Lane {
+  HttpClient& owner;
+  Timer deadline;
+  evhttp_connection* connection = nullptr;
+  bool busy = false;
+  bool spoilt = false;  // to be closed before its next use, never inside evhttp's own callback
+  HttpHandler handler;
+
+  explicit Lane(HttpClient& client)
+      : owner(client), deadline(client.loop_, [this] {
+          owner.finish(*this, {}, Ending::timed_out);
+        }) {}
+  ~Lane() { close(); }
+  void close() {
+    if (connection != nullptr) evhttp_connection_free(connection);
+    connection = nullptr;
+    spoilt = false;
+  }
+};
+
+HttpClient::HttpClient(Loop& loop, Address to, std::size_t connections, std::size_t queue_limit)
+    : loop_(loop), to_(std::move(to)), queue_limit_(queue_limit), pump_later_(loop, [this] {
+        pump();
+      }) {
+  for (std::size_t i = 0; i < connections; ++i) lanes_.push_back(std::make_unique<Lane>(*this));
+}
+
+HttpClient::~HttpClient() = default;
+
+bool HttpClient::idle() const {
+  if (!queue_.empty()) return false;
+  for (const auto& lane : lanes_) {
+    if (lane->busy) return false;
+  }
+  return true;
+}
+
+void HttpClient::send(HttpCall call, HttpHandler handler) {
+  for (auto& lane : lanes_) {
+    if (lane->busy || !queue_.empty()) continue;
+    begin(*lane, {std::move(call), std::move(handler), nullptr});
+    return;
+  }
+  if (queue_.size() >= queue_limit_) {
+    handler({0, true, {}});
+    return;
+  }
+  queue_.push_back({std::move(call), std::move(handler), nullptr});
+  auto entry = std::prev(queue_.end());
+  // The deadline runs while the request waits for a connection, too.
+  entry->expiry = std::make_unique<Timer>(loop_, [this, entry] {
+    HttpHandler expired = std::move(entry->handler);
+    queue_.erase(entry);
+    expired({0, true, {}});
+  });
+  entry->expiry->start(entry->call.deadline);
+}
+
+void HttpClient::begin(Lane& lane, Waiting next) {
+  if (lane.spoilt) lane.close();
+  if (lane.connection == nullptr) {
+    lane.connection = evhttp_connection_base_new(loop_.base(), nullptr, to_.host.c_str(), to_.port);
+    evhttp_connection_set_timeout(lane.connection, 120);
+  }
+  lane.busy = true;
+  lane.handler = std::move(next.handler);
+  evhttp_request* request = evhttp_request_new(
+      [](evhttp_request* req, void* arg) {
+        auto& self = *static_cast<Lane*>(arg);
+        HttpReply reply;
+        if (req != nullptr) reply.status = evhttp_request_get_response_code(req);
+        if (reply.status == 0) {
+          self.owner.finish(self, std::move(reply), Ending::broken);
+          return;
+        }
+        evbuffer* body = evhttp_request_get_input_buffer(req);
+        reply.body.resize(evbuffer_get_length(body));
+        evbuffer_copyout(body, reply.body.data(), reply.body.size());
+        self.owner.finish(self, std::move(reply), Ending::answered);
+      },
+      &lane);
+  auto* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", (to_.host + ":" + std::to_string(to_.port)).c_str());
+  if (!next.call.body.empty()) {
+    evhttp_add_header(headers, "Content-Type", next.call.content_type.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(request), next.call.body.data(),
+                 next.call.body.size());
+  }
+  lane.deadline.start(next.call.deadline);
+  if (evhttp_make_request(lane.connection, request, next.call.method, next.call.path.c_str()) != 0) {
+    // evhttp took the request off the connection and will call nothing back for it.
+    finish(lane, {0, true, {}}, Ending::broken);
+  }
+}
+
+void HttpClient::finish(Lane& lane, HttpReply reply, Ending ending) {
+  if (!lane.busy) return;
+  lane.busy = false;
+  lane.deadline.stop();
+  if (ending == Ending::timed_out) lane.close();
+  if (ending == Ending::broken) lane.spoilt = true;
+  HttpHandler handler = std::move(lane.handler);
+  lane.handler = nullptr;
+  if (!queue_.empty()) pump_later_.start({0});
+  handler(reply);
+}
+
+void HttpClient::pump() {
+  for (auto& lane : lanes_) {
+    if (queue_.empty()) return;
+    if (lane->busy) continue;
+    Waiting next = std::move(queue_.front());
+    queue_.pop_front();
+    next.expiry.reset();
+    begin(*lane, std::move(next));
+  }
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,72 @@
+// HTTP client on evhttp: a few connections per endpoint, one request on each at a time, a deadline
+// for every request and a bounded queue. A request that got no answer is reported with status 0:
+// whether it was carried out is then unknown.
+#pragma once
+
+#include <event2/http.h>
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "core/time.hpp"
+#include "net/loop.hpp"
+
+namespace marblevale {
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+  auto operator<=>(const Address&) const = default;
+};
+
+struct HttpReply {
+  int status = 0;          // 0: no answer
+  bool never_sent = false; // the request did not leave this process
+  std::string body;
+};
+
+using HttpHandler = std::function<void(const HttpReply&)>;
+
+struct HttpCall {
+  evhttp_cmd_type method = EVHTTP_REQ_GET;
+  std::string path;
+  std::string body;
+  std::string content_type = "application/json";
+  Span deadline{2000};
+};
+
+class HttpClient {
+ public:
+  HttpClient(Loop& loop, Address to, std::size_t connections, std::size_t queue_limit);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  void send(HttpCall call, HttpHandler handler);
+  [[nodiscard]] bool idle() const;
+
+ private:
+  struct Lane;
+  struct Waiting {
+    HttpCall call;
+    HttpHandler handler;
+    std::unique_ptr<Timer> expiry;
+  };
+  enum class Ending { answered, broken, timed_out };
+
+  void begin(Lane& lane, Waiting next);
+  void finish(Lane& lane, HttpReply reply, Ending ending);
+  void pump();
+
+  Loop& loop_;
+  Address to_;
+  std::size_t queue_limit_;
+  std::list<std::unique_ptr<Lane>> lanes_;
+  std::list<Waiting> queue_;
+  Timer pump_later_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,66 @@
+#include "net/http_server.hpp"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include <stdexcept>
+
+namespace marblevale {
+
+namespace {
+// evhttp refuses larger bodies by itself; what lies between the protocol's 64 KiB and this is
+// answered by the handler, with the status that the protocol wants.
+constexpr ev_ssize_t kMaxBody = 256 * 1024;
+constexpr ev_ssize_t kMaxHeaders = 16 * 1024;
+constexpr int kIdleSeconds = 60;
+}  // namespace
+
+Responder::Responder(evhttp_request* request) : request_(request) {}
+
+Responder::~Responder() {
+  if (request_ != nullptr) reply(503, R"({"error":"not decided"})");
+}
+
+void Responder::reply(int status, std::string_view body, int retry_after_s) {
+  if (request_ == nullptr) return;
+  evhttp_request* request = request_;
+  request_ = nullptr;
+  auto* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  if (retry_after_s > 0) {
+    evhttp_add_header(headers, "Retry-After", std::to_string(retry_after_s).c_str());
+  }
+  evbuffer* out = evhttp_request_get_output_buffer(request);
+  evbuffer_add(out, body.data(), body.size());
+  evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+HttpServer::HttpServer(Loop& loop, const Address& at, Handler handler)
+    : handler_(std::move(handler)), http_(evhttp_new(loop.base()), &evhttp_free) {
+  evhttp_set_max_body_size(http_.get(), kMaxBody);
+  evhttp_set_max_headers_size(http_.get(), kMaxHeaders);
+  evhttp_set_timeout(http_.get(), kIdleSeconds);
+  evhttp_set_allowed_methods(http_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                              EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
+                                              EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(
+      http_.get(),
+      [](evhttp_request* req, void* arg) {
+        auto& self = *static_cast<HttpServer*>(arg);
+        HttpRequest request;
+        request.method = evhttp_request_get_command(req);
+        const char* uri = evhttp_request_get_uri(req);
+        request.path = uri == nullptr ? "" : uri;
+        request.path = request.path.substr(0, request.path.find('?'));
+        evbuffer* body = evhttp_request_get_input_buffer(req);
+        request.body.resize(evbuffer_get_length(body));
+        evbuffer_copyout(body, request.body.data(), request.body.size());
+        self.handler_(request, std::make_shared<Responder>(req));
+      },
+      this);
+  if (evhttp_bind_socket(http_.get(), at.host.c_str(), at.port) != 0) {
+    throw std::runtime_error("cannot listen on " + at.host + ":" + std::to_string(at.port));
+  }
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,43 @@
+#include "net/loop.hpp"
+
+#include <ctime>
+#include <stdexcept>
+
+namespace marblevale {
+
+namespace {
+std::int64_t read_clock(clockid_t id) {
+  timespec ts{};
+  clock_gettime(id, &ts);
+  return static_cast<std::int64_t>(ts.tv_sec) * 1000 + ts.tv_nsec / 1'000'000;
+}
+}  // namespace
+
+Steady SystemClock::steady() const { return {read_clock(CLOCK_MONOTONIC)}; }
+Wall SystemClock::wall() const { return {read_clock(CLOCK_REALTIME)}; }
+
+Loop::Loop() : base_(event_base_new(), &event_base_free) {
+  if (!base_) throw std::runtime_error("libevent gave no event base");
+}
+
+void Loop::run() { event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
+
+Timer::Timer(Loop& loop, std::function<void()> action)
+    : action_(std::move(action)),
+      event_(event_new(
+                 loop.base(), -1, 0,
+                 [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->action_(); },
+                 this),
+             &event_free) {}
+
+void Timer::start(Span after) {
+  const std::int64_t ms = after.ms < 0 ? 0 : after.ms;
+  timeval tv{static_cast<time_t>(ms / 1000), static_cast<suseconds_t>(ms % 1000 * 1000)};
+  event_add(event_.get(), &tv);
+}
+
+void Timer::stop() { event_del(event_.get()); }
+
+bool Timer::pending() const { return event_pending(event_.get(), EV_TIMEOUT, nullptr) != 0; }
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/peers/pulse.hpp
@@ -0,0 +1,65 @@
+// What controllers tell one another, once a second. It only makes things quicker or keeps a lease
+// alive; no rule depends on a message arriving.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "net/http_server.hpp"
+
+namespace marblevale {
+
+struct Pulse {
+  std::string node;
+  std::uint64_t nonce = 0;
+  bool state_ok = false;            // the state service answers this node
+  std::int64_t last_cancel_ms = 0;  // time of day of its last (possible) acceptance of a cancel
+  std::vector<std::string> complaints;  // zones whose workers can't reach their holder
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(node, nonce, state_ok, last_cancel_ms, complaints);
+  }
+};
+
+std::string encode(const Pulse& pulse);
+/// Nothing for what can't be read.
+std::optional<Pulse> decode_pulse(const std::string& bytes);
+
+class Pulses {
+ public:
+  using Compose = std::function<Pulse()>;
+  using Heard = std::function<void(const Pulse&)>;
+
+  Pulses(Loop& loop, const Clock& clock, const Settings& settings, Compose compose, Heard heard);
+  void begin();
+
+  /// True when some peer said within the last seconds that the state service answers it.
+  [[nodiscard]] bool peer_has_state() const;
+  /// When every peer answered the last round with no cancellation accepted since `known`: the time
+  /// at which that round was sent.
+  [[nodiscard]] std::optional<Steady> no_cancel_since(Wall known) const;
+
+ private:
+  struct PeerState {
+    std::unique_ptr<HttpClient> client;
+    bool busy = false;
+    std::optional<Pulse> last;
+    Steady asked;  // when the request that brought `last` was sent
+  };
+  void tick();
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Compose compose_;
+  Heard heard_;
+  std::map<NodeId, PeerState> peers_;
+  HttpServer server_;
+  Timer timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/planner/granting.hpp
@@ -0,0 +1,89 @@
+// The leader's granting: builds the profile from the records, runs the planner's rounds, commits
+// guarantees and releases, and stops tasks for a recorded reason.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "app/settings.hpp"
+#include "election/election.hpp"
+#include "fleet/fleet.hpp"
+#include "planner/planner.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+/// Images that machines probably have: those of tasks that ran there, the latest within the cache.
+class ImageGuess {
+ public:
+  void used(const HostId& host, const ImageId& image, double gb, double cache_gb);
+  void forget(const HostId& host) { images_.erase(host); }
+  [[nodiscard]] std::set<ImageId> of(const HostId& host) const;
+
+ private:
+  std::unordered_map<HostId, std::vector<std::pair<ImageId, double>>> images_;
+};
+
+class Granting {
+ public:
+  Granting(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
+           Election& election, Fleet& fleet);
+
+  void begin();
+
+ private:
+  enum class State { idle, leading };
+  struct Pending {
+    SliceRecord slice;
+    std::optional<Revision> until;  // kept until the mirror has this; none: no answer yet
+  };
+
+  void transition(State next);
+  void wake();
+  void round();
+  void take_over();
+  void watch_images(const std::string& slice_key);
+  void housekeep();
+  bool end_job(const Uid& uid, const Stored<JobRecord>& job);
+  void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
+  void drain();
+  [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
+  Profile build_profile() const;
+  void occupy(Profile& profile) const;
+  [[nodiscard]] Wall likely_end(const TaskRecord& task, const JobSpec& job) const;
+  std::vector<QueueItem> build_queue() const;
+  [[nodiscard]] std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job) const;
+  [[nodiscard]] std::set<Uid> guaranteed_jobs() const;
+  void release(const Start& start, const Planner& planner);
+  void commit_slices(Txn txn, std::vector<SliceRecord> slices);
+  void displace(const Planner& planner);
+  bool make_room(const QueueItem& item, const std::set<Uid>& guaranteed);
+  void want_machines(const Planner& planner);
+  void persist();
+  void note(const Uid& uid, std::string what);
+
+  const Clock& clock_;
+  const Settings& settings_;
+  Mirror& mirror_;
+  Election& election_;
+  Fleet& fleet_;
+  State state_ = State::idle;
+  Stamp term_;
+  Reservations reservations_;
+  std::size_t cursor_ = 0;
+  std::map<SliceKey, Pending> pending_;
+  std::vector<std::pair<Txn, std::vector<SliceRecord>>> unknown_;  // commits without an answer
+  std::set<Uid> ending_;
+  std::unordered_map<Uid, std::vector<Note>> notes_;  // not yet in the state service
+  std::unordered_map<Uid, Steady> made_room_;
+  bool persisting_ = false;
+  ImageGuess images_;
+  Steady round_over_{};
+  Span round_took_{};
+  Steady last_want_{-1'000'000};
+  Timer timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/planner/planner.cpp
@@ -0,0 +1,241 @@
+#include "planner/planner.hpp"
+
+#include <algorithm>
+
+namespace marblevale {
+
+namespace {
+// A job that no machine can take yet is granted a start this far away until one is rented.
+constexpr Span kUnplacedDelay{10 * 60'000};
+}  // namespace
+
+bool before(const QueueItem& a, const QueueItem& b) {
+  const JobSpec& x = *a.demand.job;
+  const JobSpec& y = *b.demand.job;
+  if (x.urgency != y.urgency) return x.urgency > y.urgency;
+  if (a.guaranteed != b.guaranteed) return a.guaranteed;
+  if (a.demand.run != b.demand.run) return a.demand.run < b.demand.run;
+  if (a.accepted != b.accepted) return a.accepted < b.accepted;
+  return a.uid < b.uid;
+}
+
+Planner::Planner(Profile profile, std::vector<QueueItem> queue, Reservations& reservations,
+                 Wall now, std::function<bool()> spent)
+    : profile_(std::move(profile)),
+      queue_(std::move(queue)),
+      reservations_(reservations),
+      now_(now),
+      spent_(std::move(spent)) {
+  std::sort(queue_.begin(), queue_.end(), before);
+  for (std::size_t i = 0; i < profile_.machines().size(); ++i) {
+    index_[profile_.machines()[i].host] = i;
+  }
+}
+
+Plan Planner::plan_of(const Reservation& r) const {
+  Plan plan;
+  for (const auto& place : r.places) {
+    const auto it = index_.find(place.host);
+    if (it == index_.end()) return {};
+    plan.spots.push_back({it->second, place.start, place.end});
+  }
+  return plan;
+}
+
+void Planner::set(const QueueItem& item, const Plan& plan) {
+  auto [it, fresh] = reservations_.try_emplace(item.uid);
+  Reservation& r = it->second;
+  r.places.clear();
+  for (const Spot& s : plan.spots) {
+    r.places.push_back({profile_.machines()[s.machine].host, s.start, s.end});
+  }
+  if (fresh) r.first = plan.start();
+  if (fresh || r.start != plan.start() || r.end != plan.end()) r.changed = true;
+  r.start = plan.start();
+  r.end = plan.end();
+  profile_.take(plan, *item.demand.job, item.owner);
+}
+
+void Planner::hold_unplaced(const QueueItem& item) {
+  auto [it, fresh] = reservations_.try_emplace(item.uid);
+  Reservation& r = it->second;
+  r.places.clear();
+  const Wall start = now_ + kUnplacedDelay;
+  if (fresh) r.first = start;
+  // Its time is pushed on only when it is reached: nothing is written while nothing changes.
+  if (fresh || r.start <= now_) {
+    r.start = start;
+    r.end = start + item.demand.run;
+    r.changed = true;
+  }
+}
+
+void Planner::put_back(const QueueItem& item) {
+  const auto it = reservations_.find(item.uid);
+  if (it == reservations_.end()) return;
+  const Plan plan = plan_of(it->second);
+  if (!plan.spots.empty()) profile_.take(plan, *item.demand.job, item.owner);
+}
+
+std::vector<Moved> Planner::restore() {
+  std::vector<Moved> moved;
+  std::vector<const QueueItem*> order;
+  for (const QueueItem& item : queue_) {
+    if (reservations_.contains(item.uid)) order.push_back(&item);
+  }
+  // In the order of their granted starts, so that a conflict falls on the later one.
+  std::sort(order.begin(), order.end(), [this](const QueueItem* a, const QueueItem* b) {
+    const Reservation& x = reservations_.at(a->uid);
+    const Reservation& y = reservations_.at(b->uid);
+    return x.start != y.start ? x.start < y.start : before(*a, *b);
+  });
+  for (const QueueItem* item : order) {
+    Reservation& r = reservations_.at(item->uid);
+    // Tasks of a slice that have started, or come back, change how many places it needs.
+    if (r.places.size() > item->demand.tasks) r.places.resize(item->demand.tasks);
+    Plan plan = plan_of(r);
+    if (plan.spots.size() == item->demand.tasks) {
+      // A start that is reached without having begun slides along with the present.
+      const Wall first = plan.first_start();
+      if (first < now_) {
+        for (Spot& s : plan.spots) {
+          s.start = s.start + (now_ - first);
+          s.end = s.end + (now_ - first);
+        }
+      }
+      if (profile_.holds(plan, *item->demand.job)) {
+        profile_.take(plan, *item->demand.job, item->owner);
+        continue;
+      }
+    }
+    const Wall old = r.start;
+    auto again = profile_.earliest(item->demand, now_);
+    if (!again) {
+      hold_unplaced(*item);
+      continue;
+    }
+    const bool was_unplaced = r.places.empty();
+    set(*item, *again);
+    if (!was_unplaced && r.start > old) moved.push_back({item->uid, old, r.start});
+  }
+  return moved;
+}
+
+void Planner::arrive(const QueueItem& item) {
+  const auto tentative = profile_.earliest(item.demand, now_);
+  if (!tentative) {
+    hold_unplaced(item);
+    return;
+  }
+  const Wall its_end = tentative->end();
+  // Jobs of higher priority that the new one could delay move first (2.2).
+  bool any = false;
+  for (const QueueItem& other : queue_) {
+    if (other.uid == item.uid) break;
+    const auto it = reservations_.find(other.uid);
+    if (it == reservations_.end() || it->second.start <= now_ || other.not_before > now_) continue;
+    profile_.release(other.owner);
+    auto plan = profile_.earliest(other.demand, now_);
+    if (plan && plan->start() < it->second.start && plan->start() < its_end) {
+      set(other, *plan);
+      any = true;
+    } else {
+      put_back(other);
+    }
+  }
+  const auto plan = any ? profile_.earliest(item.demand, now_) : tentative;
+  if (plan) {
+    set(item, *plan);
+  } else {
+    hold_unplaced(item);
+  }
+}
+
+bool Planner::admit_arrivals() {
+  std::vector<const QueueItem*> fresh;
+  for (const QueueItem& item : queue_) {
+    if (!reservations_.contains(item.uid)) fresh.push_back(&item);
+  }
+  std::sort(fresh.begin(), fresh.end(), [](const QueueItem* a, const QueueItem* b) {
+    return a->accepted != b->accepted ? a->accepted < b->accepted : a->uid < b->uid;
+  });
+  for (const QueueItem* item : fresh) {
+    if (spent_()) return false;
+    arrive(*item);
+  }
+  return true;
+}
+
+std::vector<Start> Planner::compress(std::size_t& cursor) {
+  std::vector<Start> starts;
+  std::vector<bool> gone(queue_.size(), false);
+  std::size_t i = std::min(cursor, queue_.size());
+  while (i < queue_.size()) {
+    if (spent_()) {
+      cursor = i;
+      return starts;
+    }
+    QueueItem& item = queue_[i];
+    if (gone[i] || item.not_before > now_ || !reservations_.contains(item.uid)) {
+      ++i;
+      continue;
+    }
+    profile_.release(item.owner);
+    Plan plan;
+    if (item.demand.job->gang()) {
+      if (auto whole = profile_.fit_at(item.demand, now_)) plan = std::move(*whole);
+    } else {
+      plan = profile_.fit_some(item.demand, now_);
+    }
+    if (plan.spots.empty()) {
+      put_back(item);
+      ++i;
+      continue;
+    }
+    profile_.take(plan, *item.demand.job, Owner{item.owner.get() | (1ULL << 63)});
+    const std::size_t n = plan.spots.size();
+    std::vector<std::uint32_t> parts(item.parts.begin(),
+                                     item.parts.begin() + static_cast<std::ptrdiff_t>(n));
+    item.parts.erase(item.parts.begin(), item.parts.begin() + static_cast<std::ptrdiff_t>(n));
+    item.demand.tasks -= static_cast<std::uint32_t>(n);
+    if (item.demand.job->together) item.demand.zone = profile_.machines()[plan.spots[0].machine].zone;
+    for (const Spot& s : plan.spots) {
+      const ZoneId& zone = profile_.machines()[s.machine].zone;
+      auto& zones = item.demand.elsewhere;
+      const auto at = std::find_if(zones.begin(), zones.end(),
+                                   [&](const auto& entry) { return entry.first == zone; });
+      if (at == zones.end()) {
+        zones.emplace_back(zone, 1);
+      } else {
+        ++at->second;
+      }
+    }
+    starts.push_back({item.uid, std::move(plan), std::move(parts)});
+    if (item.demand.tasks == 0) {
+      gone[i] = true;
+    } else {
+      // The rest keeps its places, the latest of them given up.
+      Reservation& r = reservations_.at(item.uid);
+      std::sort(r.places.begin(), r.places.end(),
+                [](const auto& a, const auto& b) { return a.start < b.start; });
+      if (r.places.size() > item.demand.tasks) {
+        r.places.erase(r.places.begin(),
+                       r.places.begin() +
+                           static_cast<std::ptrdiff_t>(r.places.size() - item.demand.tasks));
+      }
+      const Plan rest = plan_of(r);
+      if (!rest.spots.empty() && profile_.holds(rest, *item.demand.job)) {
+        profile_.take(rest, *item.demand.job, item.owner);
+      } else if (const auto later = profile_.earliest(item.demand, now_)) {
+        set(item, *later);
+      } else {
+        hold_unplaced(item);
+      }
+    }
+    i = 0;  // a place was given up: those before may fit now
+  }
+  cursor = 0;
+  return starts;
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/planner/planner.hpp
@@ -0,0 +1,92 @@
+// Delayed Compression: reservations for every job, the arrival step and compression. A pure
+// function of profile, queue and time; a round has a budget and goes on where the last stopped.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "planner/profile.hpp"
+
+namespace marblevale {
+
+/// A job's place in the compression queue.
+struct QueueItem {
+  Uid uid;
+  Owner owner;
+  Demand demand;
+  std::vector<std::uint32_t> parts;  // the tasks to be placed, as many as demand.tasks
+  bool guaranteed = false;           // within its team's guarantee
+  Wall accepted;
+  Wall not_before;                   // after a fault: when it may be tried again
+};
+
+/// Urgency, then work within its team's guarantee, then Shortest Job First, then acceptance.
+bool before(const QueueItem& a, const QueueItem& b);
+
+/// A job's reservation: machines are named, since the profile is built anew for each round.
+struct Reservation {
+  struct Place {
+    HostId host;
+    Wall start;
+    Wall end;
+  };
+  std::vector<Place> places;  // empty: no machine can take the job yet
+  Wall first;                 // the start granted at arrival
+  Wall start;
+  Wall end;
+  bool changed = true;        // not yet in the state service
+};
+
+using Reservations = std::unordered_map<Uid, Reservation>;
+
+struct Start {
+  Uid uid;
+  Plan plan;                         // spots for the first plan.spots.size() of the item's parts
+  std::vector<std::uint32_t> parts;  // as many as spots
+};
+
+struct Moved {
+  Uid uid;
+  Wall from;
+  Wall to;
+};
+
+class Planner {
+ public:
+  /// `spent` tells whether the round's budget is used up.
+  Planner(Profile profile, std::vector<QueueItem> queue, Reservations& reservations, Wall now,
+          std::function<bool()> spent);
+
+  /// Puts the reservations into the profile. One that no longer holds (a task overran, a machine
+  /// was lost) is placed again, and reported if that makes it later.
+  std::vector<Moved> restore();
+
+  /// The arrival step for jobs without a reservation (the paper's 2.2). False: budget used up.
+  bool admit_arrivals();
+
+  /// Starts what can run now, by priority, going back to the queue's front after each move (2.1,
+  /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
+  std::vector<Start> compress(std::size_t& cursor);
+
+  [[nodiscard]] const Profile& profile() const { return profile_; }
+  [[nodiscard]] const std::vector<QueueItem>& queue() const { return queue_; }
+
+ private:
+  [[nodiscard]] Plan plan_of(const Reservation& r) const;
+  void set(const QueueItem& item, const Plan& plan);
+  void put_back(const QueueItem& item);
+  void arrive(const QueueItem& item);
+  void hold_unplaced(const QueueItem& item);
+
+  Profile profile_;
+  std::vector<QueueItem> queue_;
+  Reservations& reservations_;
+  Wall now_;
+  std::function<bool()> spent_;
+  std::unordered_map<HostId, std::size_t> index_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/store/client.hpp
@@ -0,0 +1,149 @@
+// The state service's client: reads, guarded commits, leases and watches, each with a deadline,
+// within this node's share of the published rates. What matters more goes first.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/strong.hpp"
+#include "net/budget.hpp"
+#include "net/http_client.hpp"
+
+namespace marblevale {
+
+struct Put {
+  std::string key;
+  std::string value;  // JSON
+  Permit permit{};
+};
+
+struct Txn {
+  std::vector<std::pair<std::string, Stamp>> guards;
+  std::vector<Put> puts;
+  std::vector<std::string> deletes;
+
+  Txn& guard(std::string key, Stamp stamp) {
+    guards.emplace_back(std::move(key), stamp);
+    return *this;
+  }
+  Txn& put(std::string key, std::string value, Permit permit = {}) {
+    puts.push_back({std::move(key), std::move(value), permit});
+    return *this;
+  }
+  Txn& remove(std::string key) {
+    deletes.push_back(std::move(key));
+    return *this;
+  }
+};
+
+/// What became of a request. `unknown`: it may have been executed, or may still be.
+enum class Fate { done, conflict, refused, no_permit, unknown };
+
+struct CommitResult {
+  Fate fate = Fate::unknown;
+  Revision revision;
+  std::vector<std::string> failed;
+};
+
+struct Entry {
+  std::string key;
+  std::string value;  // JSON
+  Stamp stamp;
+};
+
+struct ReadResult {
+  bool ok = false;  // false: nothing is known
+  std::optional<Entry> entry;
+};
+
+struct RangeResult {
+  bool ok = false;
+  std::vector<Entry> items;
+  bool has_next = false;
+  Revision revision;
+};
+
+struct Change {
+  std::string key;
+  std::optional<std::string> value;  // none: deleted
+  Stamp stamp;
+};
+
+struct WatchResult {
+  enum class Kind { changes, too_old, failed } kind = Kind::failed;
+  std::vector<Change> log;
+  Revision revision;
+};
+
+struct PermitResult {
+  Fate fate = Fate::unknown;
+  Permit permit;
+};
+
+struct StoreLimits {
+  double rps = 100;
+  double write_rps = 50;
+  std::size_t value_bytes = 8192;
+  std::size_t txn_ops = 16;
+};
+
+/// Classes of requests, the most important first.
+enum class Rank { lease, binding, granting, submission, read };
+
+/// The interface that the slices use, so that tests can script the state service.
+class Store {
+ public:
+  virtual ~Store() = default;
+  virtual void read(const std::string& key, std::function<void(ReadResult)> then) = 0;
+  virtual void range(const std::string& prefix, const std::string& after,
+                     std::function<void(RangeResult)> then) = 0;
+  virtual void commit(Rank rank, Txn txn, std::function<void(CommitResult)> then) = 0;
+  virtual void watch(const std::string& prefix, Revision after, Span hold,
+                     std::function<void(WatchResult)> then) = 0;
+  virtual void create_permit(Span ttl, std::function<void(PermitResult)> then) = 0;
+  virtual void touch_permit(Permit permit, std::function<void(PermitResult)> then) = 0;
+  [[nodiscard]] virtual const StoreLimits& limits() const = 0;
+};
+
+class StoreClient : public Store {
+ public:
+  StoreClient(Loop& loop, const Clock& clock, const Address& at, StoreLimits limits,
+              std::size_t nodes);
+
+  void read(const std::string& key, std::function<void(ReadResult)> then) override;
+  void range(const std::string& prefix, const std::string& after,
+             std::function<void(RangeResult)> then) override;
+  void commit(Rank rank, Txn txn, std::function<void(CommitResult)> then) override;
+  void watch(const std::string& prefix, Revision after, Span hold,
+             std::function<void(WatchResult)> then) override;
+  void create_permit(Span ttl, std::function<void(PermitResult)> then) override;
+  void touch_permit(Permit permit, std::function<void(PermitResult)> then) override;
+  [[nodiscard]] const StoreLimits& limits() const override { return limits_; }
+
+ private:
+  struct Job {
+    HttpCall call;
+    double writes = 0;
+    Steady expires;
+    HttpHandler then;
+  };
+  void enqueue(Rank rank, HttpCall call, double writes, HttpHandler then);
+  void pump();
+
+  const Clock& clock_;
+  StoreLimits limits_;
+  HttpClient http_;
+  HttpClient lease_http_;
+  HttpClient watch_http_;
+  TokenBucket requests_;
+  TokenBucket writes_;
+  std::array<std::deque<Job>, 5> queues_;
+  Timer pump_timer_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/store/mirror.hpp
@@ -0,0 +1,102 @@
+// A copy of the live records in memory, kept up by one watch. It may lag; whatever is decided from
+// it is committed under guards, so that a decision from an old copy fails.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "store/client.hpp"
+#include "store/records.hpp"
+
+namespace marblevale {
+
+template <typename Record>
+struct Stored {
+  Record record;
+  Stamp stamp;
+};
+
+using SliceKey = std::pair<Uid, std::uint32_t>;
+
+/// The records, typed.
+struct Records {
+  std::optional<Stored<LeaderRecord>> leader;
+  std::optional<Stored<std::vector<MachineType>>> types;
+  std::map<NodeId, Stored<NodeRecord>> nodes;
+  std::map<ZoneId, Stored<BlockRecord>> blocks;
+  std::unordered_map<Uid, Stored<JobRecord>> jobs;
+  std::unordered_map<Uid, Stored<GrantRecord>> grants;
+  std::map<SliceKey, Stored<SliceRecord>> slices;
+  std::map<HostId, Stored<MachineRecord>> machines;
+  std::map<std::string, Stored<HireRecord>> hires;
+  /// The tasks that are placed on each machine.
+  std::unordered_map<HostId, std::map<TaskId, Attempt>> placed;
+
+  [[nodiscard]] const JobRecord* job(const Uid& uid) const;
+  [[nodiscard]] const Stored<SliceRecord>* slice(const Uid& uid, std::uint32_t number) const;
+  [[nodiscard]] const TaskRecord* task(const TaskId& id) const;
+  [[nodiscard]] const MachineType* type(const std::string& name) const;
+  [[nodiscard]] bool alive(const NodeId& node, Nonce nonce) const;
+};
+
+/// What changed, for those who listen.
+enum class Topic { leader, types, node, block, job, grant, slice, machine, hire };
+
+class Mirror {
+ public:
+  enum class State { loading, following };
+
+  Mirror(Loop& loop, const Clock& clock, Store& store, std::uint64_t seed);
+
+  void begin();
+  [[nodiscard]] State state() const { return state_; }
+  [[nodiscard]] bool ready() const { return ever_loaded_; }
+  /// Every change up to this revision has been told by the watch.
+  [[nodiscard]] Revision revision() const { return revision_; }
+  [[nodiscard]] const Records& records() const { return records_; }
+  /// All that was committed before this moment is in the records.
+  [[nodiscard]] Steady fresh_until() const { return fresh_until_; }
+  [[nodiscard]] Wall fresh_until_wall() const { return fresh_until_wall_; }
+
+  void listen(std::function<void(Topic, const std::string& key)> listener);
+
+  /// Commits, and on success takes the change into the copy at once.
+  void commit(Rank rank, Txn txn, std::function<void(const CommitResult&)> then);
+
+  /// Applies one change (public for tests).
+  void apply(const Change& change);
+
+ private:
+  void transition(State next, const char* why);
+  void load(const std::string& after);
+  void follow();
+  void again();
+  void index(const SliceRecord& slice, bool add);
+
+  Loop& loop_;
+  const Clock& clock_;
+  Store& store_;
+  std::mt19937_64 random_;
+  State state_ = State::loading;
+  bool ever_loaded_ = false;
+  Records records_;
+  std::unordered_map<std::string, Stamp> stamps_;
+  std::unordered_map<std::string, Stamp> removed_;  // own deletions that the watch has not told yet
+  std::unordered_map<std::string, Stamp> loading_;
+  Revision revision_;
+  Revision load_from_;
+  Steady load_sent_{};
+  Wall load_sent_wall_{};
+  Steady fresh_until_{};
+  Wall fresh_until_wall_{};
+  Backoff backoff_;
+  Timer retry_;
+  std::vector<std::function<void(Topic, const std::string&)>> listeners_;
+};
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/store/records.cpp
@@ -0,0 +1,364 @@
+#include "store/records.hpp"
+
+#include <algorithm>
+
+namespace marblevale {
+
+namespace {
+
+constexpr std::uint64_t kFormat = 1;
+constexpr std::size_t kMaxNotes = 16;
+
+bool known_format(const json::Value& v) { return json::count(v, "v") == kFormat; }
+
+template <typename S>
+bool read(const json::Value& v, const char* name, S& out) {
+  if constexpr (std::is_same_v<std::decay_t<decltype(out.get())>, std::string>) {
+    const auto text = json::text(v, name);
+    if (text) out = S(*text);
+    return text.has_value();
+  } else {
+    const auto n = json::count(v, name);
+    if (n) out = S(*n);
+    return n.has_value();
+  }
+}
+
+bool read(const json::Value& v, const char* name, Wall& out) {
+  const auto ms = json::integer(v, name);
+  if (ms) out = {*ms};
+  return ms.has_value();
+}
+
+bool read_span(const json::Value& v, const char* name, Span& out) {
+  const auto ms = json::integer(v, name);
+  if (ms) out = {*ms};
+  return ms.has_value();
+}
+
+bool read_notes(const json::Value& v, std::vector<Note>& out) {
+  const json::Value* notes = json::list(v, "notes");
+  if (notes == nullptr) return false;
+  for (const auto& item : notes->GetArray()) {
+    Note note;
+    if (!read(item, "at", note.at)) return false;
+    note.what = json::text(item, "what").value_or("");
+    out.push_back(std::move(note));
+  }
+  return true;
+}
+
+constexpr std::array<const char*, 7> kMachineStates{
+    "up", "silent", "suspect", "quarantined", "draining", "deleting", "gone"};
+
+void write_task(json::Writer& out, const TaskRecord& task) {
+  out.open().put("s", static_cast<int>(task.state));
+  if (task.attempt != Attempt{}) out.put("a", task.attempt.get());
+  if (task.placed()) {
+    out.put("z", task.zone.get()).put("h", task.host.get());
+    if (task.tenure != Tenure{}) out.put("n", task.tenure.get());
+    if (task.running.ms != 0) out.put("r", task.running.ms);
+  }
+  if (task.since.ms != 0) out.put("t", task.since.ms);
+  if (task.progress.ms != 0) out.put("p", task.progress.ms);
+  if (task.faults != 0) out.put("f", static_cast<std::uint64_t>(task.faults));
+  if (task.stop) out.put("k", task.stop->leeway.ms).put("w", task.stop->reason);
+  out.close();
+}
+
+bool read_task(const json::Value& v, TaskRecord& task) {
+  const auto state = json::count(v, "s");
+  if (!state || *state > static_cast<std::uint64_t>(TaskState::done)) return false;
+  task.state = static_cast<TaskState>(*state);
+  read(v, "a", task.attempt);
+  if (task.placed()) {
+    if (!read(v, "z", task.zone) || !read(v, "h", task.host)) return false;
+    read(v, "n", task.tenure);
+    read(v, "r", task.running);
+  }
+  read(v, "t", task.since);
+  read_span(v, "p", task.progress);
+  task.faults = static_cast<std::uint32_t>(json::count(v, "f").value_or(0));
+  Span leeway;
+  if (read_span(v, "k", leeway)) task.stop = StopOrder{leeway, json::text(v, "w").value_or("")};
+  return true;
+}
+
+}  // namespace
+
+namespace keys {
+std::string node(const NodeId& node) { return "mv/nodes/" + node.get(); }
+std::string block(const ZoneId& zone) { return "mv/blocks/" + zone.get(); }
+std::string job(const Uid& uid) { return "mv/jobs/" + uid.get(); }
+std::string grant(const Uid& uid) { return "mv/grants/" + uid.get(); }
+std::string slice(const Uid& uid, std::uint32_t number) {
+  return "mv/slices/" + uid.get() + "/" + std::to_string(number);
+}
+std::string machine(const HostId& host) { return "mv/machines/" + host.get(); }
+std::string hire(const std::string& name) { return "mv/hires/" + name; }
+std::string final_job(const Uid& uid) { return "final/" + uid.get(); }
+}  // namespace keys
+
+const char* name_of(MachineState state) {
+  return kMachineStates.at(static_cast<std::size_t>(state));
+}
+
+void GrantRecord::note(Wall at, std::string what) {
+  if (notes.size() >= kMaxNotes) {
+    // The first note tells what was granted at arrival; it stays.
+    notes.erase(notes.begin() + 1);
+  }
+  notes.push_back({at, std::move(what)});
+}
+
+bool SliceRecord::all_done() const {
+  return std::all_of(tasks.begin(), tasks.end(),
+                     [](const TaskRecord& t) { return t.state == TaskState::done; });
+}
+
+std::uint32_t slice_count(const JobSpec& job) {
+  return (job.parts + kSliceTasks - 1) / kSliceTasks;
+}
+
+std::uint32_t slice_size(const JobSpec& job, std::uint32_t number) {
+  return std::min(kSliceTasks, job.parts - number * kSliceTasks);
+}
+
+std::string encode(const LeaderRecord& r) {
+  json::Writer out;
+  out.open().put("v", kFormat).put("node", r.node.get()).put("nonce", r.nonce.get()).close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, LeaderRecord& out) {
+  return known_format(v) && read(v, "node", out.node) && read(v, "nonce", out.nonce);
+}
+
+std::string encode(const NodeRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("node", r.node.get())
+      .put("nonce", r.nonce.get())
+      .put("permit", r.block_permit.get())
+      .close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, NodeRecord& out) {
+  return known_format(v) && read(v, "node", out.node) && read(v, "nonce", out.nonce) &&
+         read(v, "permit", out.block_permit);
+}
+
+std::string encode(const BlockRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("zone", r.zone.get())
+      .put("holder", r.holder.get())
+      .put("nonce", r.nonce.get())
+      .put("gen", r.generation)
+      .close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, BlockRecord& out) {
+  out.generation = json::count(v, "gen").value_or(0);
+  return known_format(v) && read(v, "zone", out.zone) && read(v, "holder", out.holder) &&
+         read(v, "nonce", out.nonce);
+}
+
+std::string encode(const JobRecord& r) {
+  json::Writer out;
+  out.open().put("v", kFormat).put("accepted", r.accepted.ms);
+  if (r.cancelled) out.put("cancelled", r.cancelled->ms);
+  out.key("spec");
+  write_job(out, r.spec);
+  out.close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, JobRecord& out) {
+  const json::Value* spec = json::field(v, "spec");
+  if (!known_format(v) || spec == nullptr || !read(v, "accepted", out.accepted)) return false;
+  std::string why;
+  auto job = parse_job(*spec, why);
+  if (!job) return false;
+  out.spec = std::move(*job);
+  Wall cancelled;
+  if (read(v, "cancelled", cancelled)) out.cancelled = cancelled;
+  return true;
+}
+
+void write_notes(json::Writer& out, const std::vector<Note>& notes) {
+  out.key("notes").open_list();
+  for (const Note& note : notes) out.open().put("at", note.at.ms).put("what", note.what).close();
+  out.close_list();
+}
+
+std::string encode(const GrantRecord& r) {
+  json::Writer out;
+  out.open().put("v", kFormat).put("uid", r.uid.get()).key("grants").open_list();
+  for (const Guarantee& g : r.guarantees) {
+    out.open()
+        .put("slice", static_cast<std::uint64_t>(g.slice))
+        .put("first", g.first.ms)
+        .put("start", g.start.ms)
+        .put("end", g.end.ms)
+        .close();
+  }
+  out.close_list();
+  write_notes(out, r.notes);
+  out.close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, GrantRecord& out) {
+  const json::Value* grants = json::list(v, "grants");
+  if (!known_format(v) || grants == nullptr || !read(v, "uid", out.uid)) return false;
+  for (const auto& item : grants->GetArray()) {
+    Guarantee g;
+    const auto slice = json::count(item, "slice");
+    if (!slice || !read(item, "first", g.first) || !read(item, "start", g.start) ||
+        !read(item, "end", g.end)) {
+      return false;
+    }
+    g.slice = static_cast<std::uint32_t>(*slice);
+    out.guarantees.push_back(g);
+  }
+  return read_notes(v, out.notes);
+}
+
+std::string encode(const SliceRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("uid", r.uid.get())
+      .put("n", static_cast<std::uint64_t>(r.number))
+      .key("tasks")
+      .open_list();
+  for (const TaskRecord& task : r.tasks) write_task(out, task);
+  out.close_list().close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, SliceRecord& out) {
+  const json::Value* tasks = json::list(v, "tasks");
+  const auto number = json::count(v, "n");
+  if (!known_format(v) || tasks == nullptr || !number || !read(v, "uid", out.uid)) return false;
+  out.number = static_cast<std::uint32_t>(*number);
+  out.tasks.resize(tasks->Size());
+  for (rapidjson::SizeType i = 0; i < tasks->Size(); ++i) {
+    if (!read_task((*tasks)[i], out.tasks[i])) return false;
+  }
+  return true;
+}
+
+std::string encode(const MachineRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("host", r.host.get())
+      .put("address", r.address)
+      .put("build", r.build)
+      .put("zone", r.zone.get())
+      .put("spot", r.spot)
+      .put("state", name_of(r.state))
+      .put("since", r.since.ms);
+  if (r.recall) out.put("recall", r.recall->ms);
+  if (r.blamed != Uid{}) out.put("blamed", r.blamed.get());
+  out.close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, MachineRecord& out) {
+  const auto state = json::text(v, "state");
+  if (!known_format(v) || !state || !read(v, "host", out.host) || !read(v, "zone", out.zone) ||
+      !read(v, "since", out.since)) {
+    return false;
+  }
+  const auto* it = std::find(kMachineStates.begin(), kMachineStates.end(), *state);
+  if (it == kMachineStates.end()) return false;
+  out.state = static_cast<MachineState>(it - kMachineStates.begin());
+  out.address = json::text(v, "address").value_or("");
+  out.build = json::text(v, "build").value_or("");
+  out.spot = json::flag(v, "spot").value_or(false);
+  read(v, "blamed", out.blamed);
+  Wall recall;
+  if (read(v, "recall", recall)) out.recall = recall;
+  return true;
+}
+
+std::string encode(const HireRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("name", r.name)
+      .put("build", r.build)
+      .put("zone", r.zone.get())
+      .put("spot", r.spot)
+      .put("count", static_cast<std::uint64_t>(r.how_many))
+      .put("asked", r.asked.ms)
+      .put("answered", r.answered)
+      .key("hosts")
+      .open_list();
+  for (const auto& host : r.hosts) out.value(host.get());
+  out.close_list().close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, HireRecord& out) {
+  const json::Value* hosts = json::list(v, "hosts");
+  const auto name = json::text(v, "name");
+  if (!known_format(v) || hosts == nullptr || !name || !read(v, "zone", out.zone) ||
+      !read(v, "asked", out.asked)) {
+    return false;
+  }
+  out.name = *name;
+  out.build = json::text(v, "build").value_or("");
+  out.spot = json::flag(v, "spot").value_or(false);
+  out.how_many = static_cast<std::uint32_t>(json::count(v, "count").value_or(0));
+  out.answered = json::flag(v, "answered").value_or(false);
+  for (const auto& host : hosts->GetArray()) {
+    if (host.IsString()) out.hosts.emplace_back(host.GetString());
+  }
+  return true;
+}
+
+std::string encode(const FinalRecord& r) {
+  json::Writer out;
+  out.open()
+      .put("v", kFormat)
+      .put("uid", r.uid.get())
+      .put("state", r.state == FinalState::done ? "done" : "cancelled")
+      .put("parts", static_cast<std::uint64_t>(r.parts))
+      .put("accepted", r.accepted.ms)
+      .put("ended", r.ended.ms);
+  write_notes(out, r.notes);
+  out.close();
+  return out.str();
+}
+
+bool decode(const json::Value& v, FinalRecord& out) {
+  const auto state = json::text(v, "state");
+  if (!known_format(v) || !state || !read(v, "uid", out.uid)) return false;
+  out.state = *state == "done" ? FinalState::done : FinalState::cancelled;
+  out.parts = static_cast<std::uint32_t>(json::count(v, "parts").value_or(0));
+  read(v, "accepted", out.accepted);
+  read(v, "ended", out.ended);
+  return read_notes(v, out.notes);
+}
+
+std::string encode(const std::vector<MachineType>& types) {
+  json::Writer out;
+  write_machine_types(out, types);
+  return out.str();
+}
+
+bool decode(const json::Value& v, std::vector<MachineType>& out) {
+  auto types = parse_machine_types(v);
+  if (types) out = std::move(*types);
+  return types.has_value();
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/store/records.hpp
@@ -0,0 +1,195 @@
+// The records that controllers keep in the state service, their keys and codecs. Each value is a
+// small JSON object with a format number.
+#pragma once
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/strong.hpp"
+#include "core/time.hpp"
+#include "wire/cloud.hpp"
+#include "wire/job_spec.hpp"
+#include "wire/worker.hpp"
+
+namespace marblevale {
+
+/// One prefix for all that is unfinished, so that one watch follows it. Jobs that are over move to
+/// `final/`, which nobody watches: a restart reads only what is unfinished.
+namespace keys {
+inline constexpr const char* kLive = "mv/";
+inline constexpr const char* kLeader = "mv/leader";
+inline constexpr const char* kTypes = "mv/types";
+std::string node(const NodeId& node);
+std::string block(const ZoneId& zone);
+std::string job(const Uid& uid);
+std::string grant(const Uid& uid);
+std::string slice(const Uid& uid, std::uint32_t number);
+std::string machine(const HostId& host);
+std::string hire(const std::string& name);
+std::string final_job(const Uid& uid);
+}  // namespace keys
+
+struct LeaderRecord {
+  NodeId node;
+  Nonce nonce;
+};
+
+/// A live controller. Its blocks hang on `block_permit`, the lease that it renews for them.
+struct NodeRecord {
+  NodeId node;
+  Nonce nonce;
+  Permit block_permit;
+};
+
+/// Whose block it is. The stamp of this record is the block's warrant.
+struct BlockRecord {
+  ZoneId zone;
+  NodeId holder;
+  Nonce nonce;
+  std::uint64_t generation = 0;
+};
+
+struct JobRecord {
+  JobSpec spec;
+  Wall accepted;
+  std::optional<Wall> cancelled;
+};
+
+/// Something that happened to a job's plan, kept for the member who asks why.
+struct Note {
+  Wall at;
+  std::string what;
+};
+
+/// Start and end that a slice was granted.
+struct Guarantee {
+  std::uint32_t slice = 0;
+  Wall first;  // the start granted at arrival
+  Wall start;
+  Wall end;
+};
+
+struct GrantRecord {
+  Uid uid;
+  std::vector<Guarantee> guarantees;  // of the slices that are reserved now
+  std::vector<Note> notes;            // the latest, bounded
+
+  void note(Wall at, std::string what);
+};
+
+enum class TaskState { idle, released, bound, done };
+
+struct StopOrder {
+  Span leeway;
+  std::string reason;
+};
+
+/// A task's place. Released: the leader has given it room on `host`; bound: the holder of `zone`
+/// has committed that it runs there. It stays so until there is proof that it is gone.
+struct TaskRecord {
+  TaskState state = TaskState::idle;
+  Attempt attempt;
+  ZoneId zone;
+  HostId host;
+  Tenure tenure;  // the worker's session when it was bound
+  Wall since;     // of the release, the binding, or the last end
+  Wall running;   // when it was first seen running; 0: not yet
+  Span progress;  // saved
+  std::uint32_t faults = 0;  // ends by error
+  std::optional<StopOrder> stop;
+
+  [[nodiscard]] bool placed() const {
+    return state == TaskState::released || state == TaskState::bound;
+  }
+};
+
+inline constexpr std::uint32_t kSliceTasks = 64;
+
+struct SliceRecord {
+  Uid uid;
+  std::uint32_t number = 0;
+  std::vector<TaskRecord> tasks;
+
+  [[nodiscard]] std::uint32_t first_part() const { return number * kSliceTasks; }
+  [[nodiscard]] bool all_done() const;
+};
+
+/// How many slices the job has, and how many tasks slice `number` has.
+std::uint32_t slice_count(const JobSpec& job);
+std::uint32_t slice_size(const JobSpec& job, std::uint32_t number);
+
+enum class MachineState {
+  up,           // reports
+  silent,       // has not reported for a while; silence proves nothing
+  suspect,      // a task failed on it: takes none until the task's next try tells whose fault it was
+  quarantined,  // fails tasks: takes none, to be returned
+  draining,     // no new tasks: notice from the cloud, or no use for it
+  deleting,     // the leader has decided to delete it
+  gone          // proof: nothing runs there, ever
+};
+
+const char* name_of(MachineState state);
+
+struct MachineRecord {
+  HostId host;
+  std::string address;
+  std::string build;
+  ZoneId zone;
+  bool spot = false;
+  MachineState state = MachineState::up;
+  Wall since;
+  std::optional<Wall> recall;
+  Uid blamed;  // of a suspect: the job whose task failed
+};
+
+struct HireRecord {
+  std::string name;
+  std::string build;
+  ZoneId zone;
+  bool spot = false;
+  std::uint32_t how_many = 0;
+  Wall asked;
+  bool answered = false;
+  std::vector<HostId> hosts;
+};
+
+enum class FinalState { done, cancelled };
+
+struct FinalRecord {
+  Uid uid;
+  FinalState state = FinalState::done;
+  std::uint32_t parts = 0;
+  Wall accepted;
+  Wall ended;
+  std::vector<Note> notes;
+};
+
+std::string encode(const LeaderRecord& r);
+std::string encode(const NodeRecord& r);
+std::string encode(const BlockRecord& r);
+std::string encode(const JobRecord& r);
+std::string encode(const GrantRecord& r);
+std::string encode(const SliceRecord& r);
+std::string encode(const MachineRecord& r);
+std::string encode(const HireRecord& r);
+std::string encode(const FinalRecord& r);
+std::string encode(const std::vector<MachineType>& types);
+
+// Each returns false, leaving `out` in an unspecified state, for what this version can't read.
+bool decode(const json::Value& v, LeaderRecord& out);
+bool decode(const json::Value& v, NodeRecord& out);
+bool decode(const json::Value& v, BlockRecord& out);
+bool decode(const json::Value& v, JobRecord& out);
+bool decode(const json::Value& v, GrantRecord& out);
+bool decode(const json::Value& v, SliceRecord& out);
+bool decode(const json::Value& v, MachineRecord& out);
+bool decode(const json::Value& v, HireRecord& out);
+bool decode(const json::Value& v, FinalRecord& out);
+bool decode(const json::Value& v, std::vector<MachineType>& out);
+
+void write_notes(json::Writer& out, const std::vector<Note>& notes);
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/wire/cloud.cpp
@@ -0,0 +1,111 @@
+#include "wire/cloud.hpp"
+
+namespace marblevale {
+
+std::optional<std::vector<MachineType>> parse_machine_types(const json::Value& object) {
+  const json::Value* builds = json::list(object, "builds");
+  if (builds == nullptr) return std::nullopt;
+  std::vector<MachineType> types;
+  for (const auto& item : builds->GetArray()) {
+    const auto name = json::text(item, "name");
+    const auto cpus = json::number(item, "cpus");
+    const auto memory = json::number(item, "memory_gb");
+    const json::Value* zones = json::list(item, "districts");
+    if (!name || !cpus || !memory || zones == nullptr) return std::nullopt;
+    MachineType type;
+    type.name = *name;
+    type.room = {*cpus, json::number(item, "accelerators").value_or(0), *memory};
+    type.cache_gb = json::number(item, "local_gb").value_or(0);
+    type.pull_gb_per_s = json::number(item, "pull_gb_per_s").value_or(0);
+    type.price = json::number(item, "hourly").value_or(0);
+    type.spot_price = json::number(item, "market_price").value_or(type.price);
+    type.boot = from_seconds(json::number(item, "ready_s").value_or(0));
+    for (const auto& zone : zones->GetArray()) {
+      if (zone.IsString()) type.zones.emplace_back(zone.GetString());
+    }
+    types.push_back(std::move(type));
+  }
+  return types;
+}
+
+void write_machine_types(json::Writer& out, const std::vector<MachineType>& types) {
+  out.open().key("builds").open_list();
+  for (const auto& type : types) {
+    out.open()
+        .put("name", type.name)
+        .put("cpus", type.room.cpus)
+        .put("accelerators", type.room.gpus)
+        .put("memory_gb", type.room.memory_gb)
+        .put("local_gb", type.cache_gb)
+        .put("pull_gb_per_s", type.pull_gb_per_s)
+        .put("hourly", type.price)
+        .put("market_price", type.spot_price)
+        .put("ready_s", type.boot.seconds())
+        .key("districts")
+        .open_list();
+    for (const auto& zone : type.zones) out.value(zone.get());
+    out.close_list().close();
+  }
+  out.close_list().close();
+}
+
+std::optional<MachineList> parse_machine_list(std::string_view body) {
+  json::Document doc;
+  if (!json::parse(doc, body)) return std::nullopt;
+  const json::Value* hosts = json::list(doc, "hosts");
+  if (hosts == nullptr) return std::nullopt;
+  MachineList out;
+  out.has_next = json::flag(doc, "has_next").value_or(false);
+  for (const auto& item : hosts->GetArray()) {
+    const auto uid = json::text(item, "uid");
+    const auto status = json::text(item, "status");
+    if (!uid || !status) return std::nullopt;
+    ListedMachine m;
+    m.host = HostId(*uid);
+    m.address = json::text(item, "address").value_or("");
+    m.build = json::text(item, "build").value_or("");
+    m.district = ZoneId(json::text(item, "district").value_or(""));
+    m.spot = json::flag(item, "loaners").value_or(false);
+    m.age = from_seconds(json::number(item, "age_s").value_or(0));
+    m.status = *status == "running"  ? RentalStatus::running
+               : *status == "failed" ? RentalStatus::failed
+                                     : RentalStatus::starting;
+    out.machines.push_back(std::move(m));
+  }
+  return out;
+}
+
+std::optional<std::vector<HostId>> parse_hired(std::string_view body) {
+  json::Document doc;
+  if (!json::parse(doc, body)) return std::nullopt;
+  const json::Value* hosts = json::list(doc, "hosts");
+  if (hosts == nullptr) return std::nullopt;
+  std::vector<HostId> out;
+  for (const auto& item : hosts->GetArray()) {
+    if (item.IsString()) out.emplace_back(item.GetString());
+  }
+  return out;
+}
+
+std::string write_hire(const std::string& name, const std::string& build, const ZoneId& zone,
+                       bool spot, std::uint32_t how_many) {
+  json::Writer out;
+  out.open()
+      .put("hire", name)
+      .put("build", build)
+      .put("district", zone.get())
+      .put("loaners", spot)
+      .put("how_many", static_cast<std::uint64_t>(how_many))
+      .close();
+  return out.str();
+}
+
+std::string write_delete(const std::vector<HostId>& hosts) {
+  json::Writer out;
+  out.open().key("hosts").open_list();
+  for (const auto& host : hosts) out.value(host.get());
+  out.close_list().close();
+  return out.str();
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/wire/cloud.hpp
@@ -0,0 +1,56 @@
+// The cloud's messages.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/amounts.hpp"
+#include "core/strong.hpp"
+#include "core/time.hpp"
+#include "wire/json.hpp"
+
+namespace marblevale {
+
+struct MachineType {
+  std::string name;
+  Room room;
+  double cache_gb = 0;
+  double pull_gb_per_s = 0;
+  double price = 0;        // per hour
+  double spot_price = 0;   // per hour
+  Span boot;
+  std::vector<ZoneId> zones;
+
+  [[nodiscard]] double price_of(bool spot) const { return spot ? spot_price : price; }
+};
+
+std::optional<std::vector<MachineType>> parse_machine_types(const json::Value& object);
+void write_machine_types(json::Writer& out, const std::vector<MachineType>& types);
+
+enum class RentalStatus { starting, running, failed };
+
+struct ListedMachine {
+  HostId host;
+  std::string address;
+  std::string build;
+  ZoneId district;
+  bool spot = false;
+  RentalStatus status = RentalStatus::starting;
+  Span age;
+};
+
+struct MachineList {
+  std::vector<ListedMachine> machines;
+  bool has_next = false;
+};
+
+std::optional<MachineList> parse_machine_list(std::string_view body);
+std::optional<std::vector<HostId>> parse_hired(std::string_view body);
+
+std::string write_hire(const std::string& name, const std::string& build, const ZoneId& zone,
+                       bool spot, std::uint32_t how_many);
+std::string write_delete(const std::vector<HostId>& hosts);
+
+}  // namespace marblevale
