--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -88,7 +88,9 @@
   json::Writer out;
   out.open()
       .put("uid", job.spec.uid.get())
-      .put("status", job.cancelled ? "cancelled" : running > 0 ? "running" : "queued")
+      .put("status", job.cancelled ? "cancelled"
+                     : running > 0 ? "running"
+                                   : "queued")
       .put("done", done)
       .put("running", running)
       .close();
@@ -222,37 +224,39 @@
   Txn txn;
   txn.guard(keys::job(job->uid), Stamp{}).guard(keys::final_job(job->uid), Stamp{});
   txn.put(keys::job(job->uid), encode(record));
-  mirror_.commit(Rank::submission, std::move(txn), [this, job, tries, answer](const CommitResult& r) {
-    switch (r.fate) {
-      case Fate::done: {
-        UserAnswer accepted = state(job->uid, "queued");
-        accepted.status = 201;
-        answer(accepted);
-        return;
-      }
-      case Fate::conflict:
-        look_up(job->uid, [this, answer](const Found& f) {
-          if (f.job) {
-            answer(state_of(f.job->record));
-          } else {
-            answer(f.final_job ? state_of(*f.final_job) : undecided());
-          }
-        });
-        return;
-      case Fate::unknown:
-        // The same commit again settles it: it passes, or finds that the first one did.
-        if (tries > 1) {
-          create(job, tries - 1, answer);
-          return;
-        }
-        answer(undecided());
-        return;
-      case Fate::refused:
-      case Fate::no_permit:
-        answer(undecided());
-        return;
-    }
-  });
+  mirror_.commit(Rank::submission, std::move(txn),
+                 [this, job, tries, answer](const CommitResult& r) {
+                   switch (r.fate) {
+                     case Fate::done: {
+                       UserAnswer accepted = state(job->uid, "queued");
+                       accepted.status = 201;
+                       answer(accepted);
+                       return;
+                     }
+                     case Fate::conflict:
+                       look_up(job->uid, [this, answer](const Found& f) {
+                         if (f.job) {
+                           answer(state_of(f.job->record));
+                         } else {
+                           answer(f.final_job ? state_of(*f.final_job) : undecided());
+                         }
+                       });
+                       return;
+                     case Fate::unknown:
+                       // The same commit again settles it: it passes, or finds that the first one
+                       // did.
+                       if (tries > 1) {
+                         create(job, tries - 1, answer);
+                         return;
+                       }
+                       answer(undecided());
+                       return;
+                     case Fate::refused:
+                     case Fate::no_permit:
+                       answer(undecided());
+                       return;
+                   }
+                 });
 }
 
 void Admission::query(const std::string& uid, Answer answer) {
@@ -303,16 +307,17 @@
     record.cancelled = clock_.wall();
     Txn txn;
     txn.guard(keys::job(uid), f.job->stamp).put(keys::job(uid), encode(record));
-    mirror_.commit(Rank::binding, std::move(txn), [this, uid, tries, answer](const CommitResult& r) {
-      last_cancel_ = std::max(last_cancel_, clock_.wall());
-      if (r.fate == Fate::done) {
-        answer(state(uid, "cancelled"));
-      } else if (r.fate == Fate::refused) {
-        answer(undecided());
-      } else {
-        cancel(uid, tries - 1, answer);  // read back what became of it
-      }
-    });
+    mirror_.commit(Rank::binding, std::move(txn),
+                   [this, uid, tries, answer](const CommitResult& r) {
+                     last_cancel_ = std::max(last_cancel_, clock_.wall());
+                     if (r.fate == Fate::done) {
+                       answer(state(uid, "cancelled"));
+                     } else if (r.fate == Fate::refused) {
+                       answer(undecided());
+                     } else {
+                       cancel(uid, tries - 1, answer);  // read back what became of it
+                     }
+                   });
   });
 }
 
--- a/src/admission/why.cpp
+++ b/src/admission/why.cpp
@@ -12,10 +12,7 @@
 void write_history(json::Writer& out, const std::vector<Note>& notes, Wall accepted) {
   out.key("history").open_list();
   for (const Note& note : notes) {
-    out.open()
-        .put("after_s", (note.at - accepted).seconds())
-        .put("what", note.what)
-        .close();
+    out.open().put("after_s", (note.at - accepted).seconds()).put("what", note.what).close();
   }
   out.close_list();
 }
@@ -40,7 +37,9 @@
   json::Writer out;
   out.open()
       .put("uid", spec.uid.get())
-      .put("status", job.cancelled ? "cancelled" : bound > 0 ? "running" : "queued")
+      .put("status", job.cancelled ? "cancelled"
+                     : bound > 0   ? "running"
+                                   : "queued")
       .put("crew", spec.crew.get())
       .put("urgency", name_of(spec.urgency))
       .put("waited_s", (now - job.accepted).seconds())
@@ -84,7 +83,8 @@
   out << std::fixed << std::setprecision(1);
   out << json::text(doc, "uid").value_or("?") << " is " << json::text(doc, "status").value_or("?");
   if (const auto took = json::number(doc, "took_s")) out << ", " << *took << " s after acceptance";
-  if (const auto waited = json::number(doc, "waited_s")) out << ", accepted " << *waited << " s ago";
+  if (const auto waited = json::number(doc, "waited_s"))
+    out << ", accepted " << *waited << " s ago";
   out << "\n";
   if (const auto parts = json::count(doc, "parts"); parts && json::count(doc, "done")) {
     out << "tasks: " << *parts << " in all, " << *json::count(doc, "done") << " done, "
@@ -93,8 +93,9 @@
         << json::count(doc, "faults").value_or(0) << " failures\n";
   }
   if (const auto first = json::number(doc, "granted_start_s")) {
-    out << "guaranteed at arrival: start " << *first << " s after acceptance; planned now: "
-        << json::number(doc, "planned_start_s").value_or(0) << " s\n";
+    out << "guaranteed at arrival: start " << *first
+        << " s after acceptance; planned now: " << json::number(doc, "planned_start_s").value_or(0)
+        << " s\n";
   }
   if (const auto* history = json::list(doc, "history")) {
     for (const auto& item : history->GetArray()) {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -92,7 +92,8 @@
   app.add_option("--session-lease-ms", tuning.session_lease.ms, "lease of liveness and leadership")
       ->envname("MARBLEVALE_SESSION_LEASE_MS")
       ->check(CLI::Range(1'000, 600'000));
-  app.add_option("--idle-return-ms", tuning.idle_return.ms, "idle time after which a machine goes back")
+  app.add_option("--idle-return-ms", tuning.idle_return.ms,
+                 "idle time after which a machine goes back")
       ->envname("MARBLEVALE_IDLE_RETURN_MS")
       ->check(CLI::Range(1'000, 86'400'000));
   app.add_option("--max-open-jobs", tuning.max_open_jobs, "unfinished jobs that are admitted")
--- a/src/blocks/grants.cpp
+++ b/src/blocks/grants.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 constexpr Span kTick{500};
-constexpr Span kHomeAfter{6'000};        // a controller must have been back for this long
-constexpr Span kAwayAfterMove{45'000};   // against flapping, after a move for cause
+constexpr Span kHomeAfter{6'000};       // a controller must have been back for this long
+constexpr Span kAwayAfterMove{45'000};  // against flapping, after a move for cause
 constexpr Span kComplaintLife{3'000};
 }  // namespace
 
@@ -55,9 +55,8 @@
   }
   const auto home_node = home(zone);
   const auto moved = moved_.find(zone);
-  const bool home_welcome =
-      home_node && alive(*home_node) &&
-      (moved == moved_.end() || now - moved->second > kAwayAfterMove);
+  const bool home_welcome = home_node && alive(*home_node) &&
+                            (moved == moved_.end() || now - moved->second > kAwayAfterMove);
   if (home_welcome && (!holder_lives || held->holder == *home_node)) return home_node;
   if (home_welcome && now - alive_since_[*home_node].second > kHomeAfter) return home_node;
   if (holder_lives) return held->holder;
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -15,7 +15,7 @@
 constexpr Span kRenewEvery{8'000};
 constexpr Span kCancelMargin{4'000};
 constexpr Span kStrayWindow{20'000};
-constexpr std::size_t kMostOrders = 60;       // in one answer, so that it stays far below 64 KiB
+constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
 constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
 
@@ -37,8 +37,9 @@
     }
     it = clients_.emplace(address, std::make_unique<HttpClient>(loop_, to, 1, 4)).first;
   }
-  it->second->send({EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
-                   std::move(then));
+  it->second->send(
+      {EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
+      std::move(then));
 }
 
 Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
@@ -112,8 +113,7 @@
 void Holder::take_blocks() {
   for (const auto& [zone, stored] : mirror_.records().blocks) {
     const BlockRecord& block = stored.record;
-    const bool earlier_life =
-        block.holder == settings_.node && block.nonce != election_.nonce();
+    const bool earlier_life = block.holder == settings_.node && block.nonce != election_.nonce();
     if (earlier_life && election_.block_permit() != Permit{}) renew_warrant(zone);
     const Warrant now(stored.stamp.get());
     if (holders_[zone] != block.holder) {
@@ -427,8 +427,7 @@
       if (unwanted) finish(id, task, job, "never started", false);
       break;
     case Finding::present:
-      if (task.running.ms == 0 &&
-          reported(view, id, task.attempt)->status == TaskStatus::running) {
+      if (task.running.ms == 0 && reported(view, id, task.attempt)->status == TaskStatus::running) {
         task.running = clock_.wall();
       }
       break;
@@ -442,9 +441,8 @@
 }
 
 bool stop_broken_gang(SliceRecord& slice) {
-  const bool broken = std::any_of(slice.tasks.begin(), slice.tasks.end(), [](const TaskRecord& t) {
-    return t.state == TaskState::idle;
-  });
+  const bool broken = std::any_of(slice.tasks.begin(), slice.tasks.end(),
+                                  [](const TaskRecord& t) { return t.state == TaskState::idle; });
   bool changed = false;
   for (TaskRecord& task : slice.tasks) {
     if (!broken || !task.placed() || task.stop) continue;
@@ -510,8 +508,8 @@
   txn.guard(keys::slice(key.first, key.second), stored->stamp);
   const bool whole = slice_count(job.spec) == 1 && slice.all_done();
   if (whole) {
-    FinalRecord final_record{key.first,    FinalState::done, job.spec.parts, job.accepted,
-                             clock_.wall(), {}};
+    FinalRecord final_record{key.first,    FinalState::done, job.spec.parts,
+                             job.accepted, clock_.wall(),    {}};
     if (const auto grant = records.grants.find(key.first); grant != records.grants.end()) {
       final_record.notes = grant->second.record.notes;
       txn.remove(keys::grant(key.first));
@@ -564,8 +562,8 @@
     if (out.size() >= kMostOrders) break;
     const auto& [id, attempt] = key;
     const TaskRecord* record = records.task(id);
-    const bool bound_here = record != nullptr && record->placed() && record->host == host &&
-                            record->attempt == attempt;
+    const bool bound_here =
+        record != nullptr && record->placed() && record->host == host && record->attempt == attempt;
     if (bound_here) continue;
     if (task.status != TaskStatus::ended) {
       // Nothing is meant to run here under this attempt: a gang's peer after its end, or a start
@@ -583,9 +581,7 @@
       }
     }
   }
-  std::erase_if(worker.kills, [&](const auto& entry) {
-    return now - entry.second > Span{60'000};
-  });
+  std::erase_if(worker.kills, [&](const auto& entry) { return now - entry.second > Span{60'000}; });
   return out;
 }
 
@@ -597,8 +593,8 @@
   if (clock_.steady() - std::max(mirror_.fresh_until(), extended_fresh_) >= answer_limit()) return;
   auto orders = orders_for(host, worker, false);
   const Steady now = clock_.steady();
-  const bool introduce = worker.introduced == Warrant{} &&
-                         now - worker.last_introduction >= kIntroduceEvery;
+  const bool introduce =
+      worker.introduced == Warrant{} && now - worker.last_introduction >= kIntroduceEvery;
   if (orders.empty() && !introduce) return;
   worker.last_introduction = now;
   send_direct(host, worker, std::move(orders));
@@ -661,7 +657,8 @@
     if (now - worker->second.heard < silence) ++lately;
   }
   for (const auto& [host, machine] : records.machines) {
-    if (machine.record.state != MachineState::up && machine.record.state != MachineState::draining) {
+    if (machine.record.state != MachineState::up &&
+        machine.record.state != MachineState::draining) {
       continue;
     }
     const auto worker = workers_.find(host);
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -102,15 +102,15 @@
   Mirror& mirror_;
   Election& election_;
   OrderSender& orders_;
-  std::map<ZoneId, Warrant> warrants_;        // as of the last take_blocks
+  std::map<ZoneId, Warrant> warrants_;  // as of the last take_blocks
   std::unordered_map<HostId, Worker> workers_;
   std::set<SliceKey> dirty_;
   std::set<SliceKey> committing_;
-  std::set<HostId> wake_;                     // hosts with orders to send at once
-  std::set<std::string> taking_;              // blocks and machines with a commit on its way
+  std::set<HostId> wake_;         // hosts with orders to send at once
+  std::set<std::string> taking_;  // blocks and machines with a commit on its way
   std::map<ZoneId, Steady> warrant_renewed_;
   std::set<ZoneId> wants_renewal_;
-  std::map<ZoneId, NodeId> holders_;          // whose each block was when last looked at
+  std::map<ZoneId, NodeId> holders_;  // whose each block was when last looked at
   std::map<ZoneId, std::map<HostId, std::vector<Steady>>> strays_;
   Steady extended_fresh_{};
   Timer round_timer_;
--- a/src/core/amounts.hpp
+++ b/src/core/amounts.hpp
@@ -12,9 +12,7 @@
   Room& operator-=(const Room& o);
   friend Room operator+(Room a, const Room& b) { return a += b; }
   friend Room operator-(Room a, const Room& b) { return a -= b; }
-  friend Room operator*(Room a, double f) {
-    return {a.cpus * f, a.gpus * f, a.memory_gb * f};
-  }
+  friend Room operator*(Room a, double f) { return {a.cpus * f, a.gpus * f, a.memory_gb * f}; }
 };
 
 /// True when `need` fits into `have`; sums of decimals are allowed a rounding error.
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -19,7 +19,8 @@
       random_(nonce.get()),
       backoff_(Span{150}, Span{1500}),
       session_timer_(loop, [this] { session_ == Permit{} ? open_session() : touch(); }),
-      block_timer_(loop, [this] { block_permit_ == Permit{} ? open_block_lease() : touch_blocks(); }),
+      block_timer_(loop,
+                   [this] { block_permit_ == Permit{} ? open_block_lease() : touch_blocks(); }),
       consider_timer_(loop, [this] { consider(); }) {
   mirror_.listen([this](Topic topic, const std::string&) {
     if (topic == Topic::leader || topic == Topic::node) consider_timer_.start({0});
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,7 +15,7 @@
 constexpr Span kTombstone{120'000};  // longer than any list lags
 constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 50;
-constexpr Span kProvenRun{4'000};   // a task that ran this long elsewhere is not at fault
+constexpr Span kProvenRun{4'000};  // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
 
 }  // namespace
@@ -152,40 +152,38 @@
 
 void Fleet::ask(const HireRecord& hire, Stamp stamp) {
   asking_.insert(hire.name);
-  cloud_.hire(hire.name, hire.build, hire.zone, hire.spot, hire.how_many,
-              [this, hire, stamp](HireFate fate, std::vector<HostId> hosts) {
-                const Offer offer{hire.build, hire.zone, hire.spot};
-                if (fate == HireFate::trouble) {
-                  // Unknown: the same name is asked again at a later tick.
-                  asking_.erase(hire.name);
-                  return;
-                }
-                spdlog::info("fleet: {} asked {} {} in {} ({}), got {}", hire.name, hire.how_many,
-                             hire.build, hire.zone.get(), hire.spot ? "spot" : "ordinary",
-                             hosts.size());
-                if (hosts.size() < hire.how_many) {
-                  auto [it, fresh] = refused_.try_emplace(
-                      offer, Refusal{{}, Backoff(kFirstRefusal, kMostRefusal)});
-                  it->second.until = clock_.steady() + it->second.backoff.next(random_);
-                } else {
-                  refused_.erase(offer);
-                }
-                Txn txn;
-                election_.guard(txn);
-                txn.guard(keys::hire(hire.name), stamp);
-                if (hosts.empty()) {
-                  txn.remove(keys::hire(hire.name));
-                } else {
-                  HireRecord answered = hire;
-                  answered.answered = true;
-                  answered.hosts = std::move(hosts);
-                  txn.put(keys::hire(hire.name), encode(answered));
-                }
-                mirror_.commit(Rank::granting, std::move(txn),
-                               [this, name = hire.name](const CommitResult&) {
-                                 asking_.erase(name);
-                               });
-              });
+  cloud_.hire(
+      hire.name, hire.build, hire.zone, hire.spot, hire.how_many,
+      [this, hire, stamp](HireFate fate, std::vector<HostId> hosts) {
+        const Offer offer{hire.build, hire.zone, hire.spot};
+        if (fate == HireFate::trouble) {
+          // Unknown: the same name is asked again at a later tick.
+          asking_.erase(hire.name);
+          return;
+        }
+        spdlog::info("fleet: {} asked {} {} in {} ({}), got {}", hire.name, hire.how_many,
+                     hire.build, hire.zone.get(), hire.spot ? "spot" : "ordinary", hosts.size());
+        if (hosts.size() < hire.how_many) {
+          auto [it, fresh] =
+              refused_.try_emplace(offer, Refusal{{}, Backoff(kFirstRefusal, kMostRefusal)});
+          it->second.until = clock_.steady() + it->second.backoff.next(random_);
+        } else {
+          refused_.erase(offer);
+        }
+        Txn txn;
+        election_.guard(txn);
+        txn.guard(keys::hire(hire.name), stamp);
+        if (hosts.empty()) {
+          txn.remove(keys::hire(hire.name));
+        } else {
+          HireRecord answered = hire;
+          answered.answered = true;
+          answered.hosts = std::move(hosts);
+          txn.put(keys::hire(hire.name), encode(answered));
+        }
+        mirror_.commit(Rank::granting, std::move(txn),
+                       [this, name = hire.name](const CommitResult&) { asking_.erase(name); });
+      });
 }
 
 void Fleet::pursue_hires() {
@@ -298,9 +296,8 @@
   Txn txn;
   election_.guard(txn);
   txn.guard(keys::machine(machine.host), stamp).put(keys::machine(machine.host), encode(verdict));
-  mirror_.commit(Rank::granting, std::move(txn), [this, host = machine.host](const CommitResult&) {
-    marking_.erase(host);
-  });
+  mirror_.commit(Rank::granting, std::move(txn),
+                 [this, host = machine.host](const CommitResult&) { marking_.erase(host); });
 }
 
 void Fleet::pursue_machines() {
@@ -414,9 +411,9 @@
   for (const auto& [name, stored] : records.hires) {
     if (txn.deletes.size() >= most || !stored.record.answered) continue;
     // Kept while it is the only word of a machine that has not reported.
-    const bool needed = std::any_of(
-        stored.record.hosts.begin(), stored.record.hosts.end(),
-        [&](const HostId& host) { return !records.machines.contains(host); });
+    const bool needed =
+        std::any_of(stored.record.hosts.begin(), stored.record.hosts.end(),
+                    [&](const HostId& host) { return !records.machines.contains(host); });
     const bool old = wall - stored.record.asked > boot_time(stored.record.build) * kNeverUp * 4.0;
     if (needed && !old) continue;
     txn.guard(keys::hire(name), stored.stamp).remove(keys::hire(name));
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -75,8 +75,8 @@
   Steady charge_since_{};
   bool in_charge_ = false;
   std::map<HostId, Listed> listed_;
-  Steady last_list_{};           // when the last full list was asked for
-  std::set<HostId> last_seen_;   // what it held
+  Steady last_list_{};          // when the last full list was asked for
+  std::set<HostId> last_seen_;  // what it held
   std::map<Offer, Refusal> refused_;
   std::set<std::string> asking_;
   std::set<HostId> marking_;
--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -25,7 +25,8 @@
   Span wait(Steady now, double amount, double keep = 0) {
     refill(now);
     const double lacking = amount + keep - tokens_;
-    return lacking <= 0 ? Span{0} : Span{static_cast<std::int64_t>(lacking / per_second_ * 1000) + 1};
+    return lacking <= 0 ? Span{0}
+                        : Span{static_cast<std::int64_t>(lacking / per_second_ * 1000) + 1};
   }
 
  private:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -14,9 +14,8 @@
   HttpHandler handler;
 
   explicit Lane(HttpClient& client)
-      : owner(client), deadline(client.loop_, [this] {
-          owner.finish(*this, {}, Ending::timed_out);
-        }) {}
+      : owner(client),
+        deadline(client.loop_, [this] { owner.finish(*this, {}, Ending::timed_out); }) {}
   ~Lane() { close(); }
   void close() {
     if (connection != nullptr) evhttp_connection_free(connection);
@@ -26,9 +25,10 @@
 };
 
 HttpClient::HttpClient(Loop& loop, Address to, std::size_t connections, std::size_t queue_limit)
-    : loop_(loop), to_(std::move(to)), queue_limit_(queue_limit), pump_later_(loop, [this] {
-        pump();
-      }) {
+    : loop_(loop),
+      to_(std::move(to)),
+      queue_limit_(queue_limit),
+      pump_later_(loop, [this] { pump(); }) {
   for (std::size_t i = 0; i < connections; ++i) lanes_.push_back(std::make_unique<Lane>(*this));
 }
 
@@ -94,7 +94,8 @@
                  next.call.body.size());
   }
   lane.deadline.start(next.call.deadline);
-  if (evhttp_make_request(lane.connection, request, next.call.method, next.call.path.c_str()) != 0) {
+  if (evhttp_make_request(lane.connection, request, next.call.method, next.call.path.c_str()) !=
+      0) {
     // evhttp took the request off the connection and will call nothing back for it.
     finish(lane, {0, true, {}}, Ending::broken);
   }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -23,8 +23,8 @@
 };
 
 struct HttpReply {
-  int status = 0;          // 0: no answer
-  bool never_sent = false; // the request did not leave this process
+  int status = 0;           // 0: no answer
+  bool never_sent = false;  // the request did not leave this process
   std::string body;
 };
 
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -16,8 +16,8 @@
 struct Pulse {
   std::string node;
   std::uint64_t nonce = 0;
-  bool state_ok = false;            // the state service answers this node
-  std::int64_t last_cancel_ms = 0;  // time of day of its last (possible) acceptance of a cancel
+  bool state_ok = false;                // the state service answers this node
+  std::int64_t last_cancel_ms = 0;      // time of day of its last (possible) acceptance of a cancel
   std::vector<std::string> complaints;  // zones whose workers can't reach their holder
 
   template <typename Archive>
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -11,8 +11,8 @@
 constexpr Span kTick{500};
 constexpr Span kCoalesce{5};
 constexpr Span kWantEvery{1000};
-constexpr Span kSaveMargin{3'000};     // before a machine is taken back
-constexpr Span kRoomEvery{12'000};     // between two displacements for one job
+constexpr Span kSaveMargin{3'000};  // before a machine is taken back
+constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
 constexpr Span kLeastRun{5'000};
 constexpr std::size_t kMostWanting = 40;
@@ -21,10 +21,14 @@
   // The first retry is at once, elsewhere; a job that keeps failing gives way to the others.
   switch (faults) {
     case 0:
-    case 1: return {0};
-    case 2: return {4'000};
-    case 3: return {10'000};
-    default: return {30'000};
+    case 1:
+      return {0};
+    case 2:
+      return {4'000};
+    case 3:
+      return {10'000};
+    default:
+      return {30'000};
   }
 }
 
@@ -170,9 +174,9 @@
     return std::none_of(queue.begin(), queue.end(),
                         [&](const QueueItem& item) { return item.uid == entry.first; });
   });
-  Planner planner(std::move(profile), std::move(queue), reservations_, clock_.wall(), [this, begin] {
-    return clock_.steady() - begin > settings_.tuning.round_budget;
-  });
+  Planner planner(
+      std::move(profile), std::move(queue), reservations_, clock_.wall(),
+      [this, begin] { return clock_.steady() - begin > settings_.tuning.round_budget; });
   for (const Moved& moved : planner.restore()) {
     note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
                         " s later: tasks before it overran, or a machine was lost");
@@ -445,8 +449,7 @@
         break;
       }
       progress = std::min(progress, task == nullptr ? Span{0} : task->progress);
-      const Wall at =
-          task == nullptr ? Wall{0} : task->since + retry_pause(task->faults);
+      const Wall at = task == nullptr ? Wall{0} : task->since + retry_pause(task->faults);
       soonest = std::min(soonest, at);
       (task != nullptr && task->faults > 0 && at > now ? paused : item.parts)
           .push_back(n * kSliceTasks + i);
@@ -502,8 +505,8 @@
                    for (const SliceRecord& slice : slices) {
                      auto& pending = pending_[{slice.uid, slice.number}];
                      // Refused: not executed. Otherwise the mirror must catch up first.
-                     pending.until = r.fate == Fate::done || r.fate == Fate::conflict ? r.revision
-                                                                                     : Revision{};
+                     pending.until =
+                         r.fate == Fate::done || r.fate == Fate::conflict ? r.revision : Revision{};
                    }
                    wake();
                  });
@@ -583,9 +586,7 @@
       return;  // the next round sees what it freed
     }
   }
-  std::erase_if(made_room_, [&](const auto& entry) {
-    return now - entry.second > Span{60'000};
-  });
+  std::erase_if(made_room_, [&](const auto& entry) { return now - entry.second > Span{60'000}; });
 }
 
 bool Granting::make_room(const QueueItem& item, const std::set<Uid>& guaranteed) {
@@ -623,8 +624,8 @@
           continue;
         }
         const bool lower = other->spec.urgency < spec.urgency;
-        const bool beyond = item.guaranteed && other->spec.crew != spec.crew &&
-                            !guaranteed.contains(id.uid);
+        const bool beyond =
+            item.guaranteed && other->spec.crew != spec.crew && !guaranteed.contains(id.uid);
         if ((!lower && !beyond) || (other->spec.gang() && other->spec.parts > 1)) continue;
         const Span ran = task->running.ms == 0 ? Span{0} : clock_.wall() - task->running;
         const double lost =
@@ -717,9 +718,9 @@
   for (const auto& [key, indices] : by_slice) {
     if (pending_.contains(key)) return false;
   }
-  const std::string reason =
-      "displaced for " + spec.uid.get() +
-      (item.guaranteed ? " (within its team's guarantee)" : " (" + std::string(name_of(spec.urgency)) + ")");
+  const std::string reason = "displaced for " + spec.uid.get() +
+                             (item.guaranteed ? " (within its team's guarantee)"
+                                              : " (" + std::string(name_of(spec.urgency)) + ")");
   for (const auto& [key, indices] : by_slice) {
     const Span leeway = records.job(key.first)->spec.stash + Span{2'000};
     stop_tasks(key, [&](std::size_t i, TaskRecord& task) {
@@ -801,8 +802,8 @@
     if (const auto r = reservations_.find(uid); r != reservations_.end()) {
       if (grant.guarantees.empty()) {
         const auto wait = r->second.first - job->second.record.accepted;
-        grant.note(clock_.wall(), "granted a start " + std::to_string(wait.ms / 1000) +
-                                      " s after acceptance");
+        grant.note(clock_.wall(),
+                   "granted a start " + std::to_string(wait.ms / 1000) + " s after acceptance");
       }
       grant.guarantees = {{0, r->second.first, r->second.start, r->second.end}};
       r->second.changed = false;
@@ -823,7 +824,8 @@
     persisting_ = false;
     if (r.fate == Fate::done) return;
     for (const Uid& uid : written) {
-      if (const auto it = reservations_.find(uid); it != reservations_.end()) it->second.changed = true;
+      if (const auto it = reservations_.find(uid); it != reservations_.end())
+        it->second.changed = true;
     }
   });
 }
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -198,7 +198,8 @@
                                      item.parts.begin() + static_cast<std::ptrdiff_t>(n));
     item.parts.erase(item.parts.begin(), item.parts.begin() + static_cast<std::ptrdiff_t>(n));
     item.demand.tasks -= static_cast<std::uint32_t>(n);
-    if (item.demand.job->together) item.demand.zone = profile_.machines()[plan.spots[0].machine].zone;
+    if (item.demand.job->together)
+      item.demand.zone = profile_.machines()[plan.spots[0].machine].zone;
     for (const Spot& s : plan.spots) {
       const ZoneId& zone = profile_.machines()[s.machine].zone;
       auto& zones = item.demand.elsewhere;
@@ -219,9 +220,9 @@
       std::sort(r.places.begin(), r.places.end(),
                 [](const auto& a, const auto& b) { return a.start < b.start; });
       if (r.places.size() > item.demand.tasks) {
-        r.places.erase(r.places.begin(),
-                       r.places.begin() +
-                           static_cast<std::ptrdiff_t>(r.places.size() - item.demand.tasks));
+        r.places.erase(
+            r.places.begin(),
+            r.places.begin() + static_cast<std::ptrdiff_t>(r.places.size() - item.demand.tasks));
       }
       const Plan rest = plan_of(r);
       if (!rest.spots.empty() && profile_.holds(rest, *item.demand.job)) {
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -20,7 +20,7 @@
   std::vector<std::uint32_t> parts;  // the tasks to be placed, as many as demand.tasks
   bool guaranteed = false;           // within its team's guarantee
   Wall accepted;
-  Wall not_before;                   // after a fault: when it may be tried again
+  Wall not_before;  // after a fault: when it may be tried again
 };
 
 /// Urgency, then work within its team's guarantee, then Shortest Job First, then acceptance.
@@ -37,7 +37,7 @@
   Wall first;                 // the start granted at arrival
   Wall start;
   Wall end;
-  bool changed = true;        // not yet in the state service
+  bool changed = true;  // not yet in the state service
 };
 
 using Reservations = std::unordered_map<Uid, Reservation>;
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -117,7 +117,8 @@
         if (plan.spots[k].machine == spot.machine) ++there;
       }
       if (!fits(job.need * there, lanes_[spot.machine].free(spot.start, spot.end))) return false;
-      if (limit != nullptr && !fits(job.need * all, limit->free(spot.start, spot.end))) return false;
+      if (limit != nullptr && !fits(job.need * all, limit->free(spot.start, spot.end)))
+        return false;
     }
     return true;
   };
@@ -185,7 +186,8 @@
     // Sooner started, then cheaper for its share of the machine, then the fuller machine; the rest
     // is decided by job and machine together, so that no zone is favoured.
     const double share = share_of(job.need, m.room);
-    const double tie = static_cast<double>(std::hash<std::string>{}(job.uid.get() + m.host.get()) % 997) / 1e5;
+    const double tie =
+        static_cast<double>(std::hash<std::string>{}(job.uid.get() + m.host.get()) % 997) / 1e5;
     const double score = fetch.seconds() + share * m.price +
                          share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) +
                          (m.slow ? (job.gang() ? 1000.0 : 20.0) : 0.0) + tie;
@@ -254,7 +256,9 @@
               share_of(demand.job->need, (*machines_)[s.machine].room) / demand.tasks;
       if ((*machines_)[s.machine].slow) cost += 1000;
     }
-    cost += static_cast<double>(std::hash<std::string>{}(demand.job->uid.get() + zone.get()) % 997) / 1e4;
+    cost +=
+        static_cast<double>(std::hash<std::string>{}(demand.job->uid.get() + zone.get()) % 997) /
+        1e4;
     if (!best || cost < best_cost) {
       best = std::move(plan);
       best_cost = cost;
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -48,10 +48,10 @@
   std::string build;
   ZoneId zone;
   bool spot = false;
-  Wall ready;               // when it can take tasks
-  double price = 0;         // per hour, as it is charged
+  Wall ready;        // when it can take tasks
+  double price = 0;  // per hour, as it is charged
   double pull_gb_per_s = 0;
-  bool prospective = false; // not rented yet
+  bool prospective = false;  // not rented yet
   bool slow = false;
   Room room;
   std::set<ImageId> images;
@@ -61,8 +61,8 @@
 struct Demand {
   const JobSpec* job = nullptr;
   std::uint32_t tasks = 1;
-  Span run;                                // estimated run time of each
-  std::optional<ZoneId> zone;              // where the job's other tasks are, if `together`
+  Span run;                    // estimated run time of each
+  std::optional<ZoneId> zone;  // where the job's other tasks are, if `together`
   std::vector<std::pair<ZoneId, std::uint32_t>> elsewhere;  // placed tasks per zone, for `spread`
 };
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -29,14 +29,21 @@
 
 Fate fate_of(const HttpReply& reply) {
   switch (reply.status) {
-    case 0: return reply.never_sent ? Fate::refused : Fate::unknown;
-    case 200: return Fate::done;
-    case 409: return Fate::conflict;
+    case 0:
+      return reply.never_sent ? Fate::refused : Fate::unknown;
+    case 200:
+      return Fate::done;
+    case 409:
+      return Fate::conflict;
     case 429:
-    case 503: return Fate::refused;
-    case 400: return Fate::no_permit;
-    case 404: return Fate::no_permit;
-    default: return Fate::unknown;
+    case 503:
+      return Fate::refused;
+    case 400:
+      return Fate::no_permit;
+    case 404:
+      return Fate::no_permit;
+    default:
+      return Fate::unknown;
   }
 }
 
@@ -129,8 +136,8 @@
         expired({0, true, {}});
         continue;
       }
-      const Span wait =
-          std::max(requests_.wait(now, 1), front.writes > 0 ? writes_.wait(now, front.writes) : Span{0});
+      const Span wait = std::max(requests_.wait(now, 1),
+                                 front.writes > 0 ? writes_.wait(now, front.writes) : Span{0});
       if (wait > Span{0}) {
         if (!pump_timer_.pending()) pump_timer_.start(wait);
         return;
@@ -209,9 +216,8 @@
   // A watch that is open costs one request; it is never queued behind others.
   requests_.take(clock_.steady(), 1);
   watch_http_.send({EVHTTP_REQ_GET,
-                    "/changes?starts=" + encode_query(prefix) +
-                        "&after=" + std::to_string(after.get()) +
-                        "&hold_ms=" + std::to_string(hold.ms),
+                    "/changes?starts=" + encode_query(prefix) + "&after=" +
+                        std::to_string(after.get()) + "&hold_ms=" + std::to_string(hold.ms),
                     {},
                     "application/json",
                     hold + kDeadline},
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -177,9 +177,8 @@
     }
     for (const Change& change : result.log) apply(change);
     if (result.revision > revision_) revision_ = result.revision;
-    std::erase_if(removed_, [this](const auto& entry) {
-      return entry.second.get() <= revision_.get();
-    });
+    std::erase_if(removed_,
+                  [this](const auto& entry) { return entry.second.get() <= revision_.get(); });
     fresh_until_ = sent;
     fresh_until_wall_ = sent_wall;
     backoff_.reset();
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -94,10 +94,10 @@
   Attempt attempt;
   ZoneId zone;
   HostId host;
-  Tenure tenure;  // the worker's session when it was bound
-  Wall since;     // of the release, the binding, or the last end
-  Wall running;   // when it was first seen running; 0: not yet
-  Span progress;  // saved
+  Tenure tenure;             // the worker's session when it was bound
+  Wall since;                // of the release, the binding, or the last end
+  Wall running;              // when it was first seen running; 0: not yet
+  Span progress;             // saved
   std::uint32_t faults = 0;  // ends by error
   std::optional<StopOrder> stop;
 
@@ -122,9 +122,9 @@
 std::uint32_t slice_size(const JobSpec& job, std::uint32_t number);
 
 enum class MachineState {
-  up,           // reports
-  silent,       // has not reported for a while; silence proves nothing
-  suspect,      // a task failed on it: takes none until the task's next try tells whose fault it was
+  up,       // reports
+  silent,   // has not reported for a while; silence proves nothing
+  suspect,  // a task failed on it: takes none until the task's next try tells whose fault it was
   quarantined,  // fails tasks: takes none, to be returned
   draining,     // no new tasks: notice from the cloud, or no use for it
   deleting,     // the leader has decided to delete it
--- a/src/wire/cloud.hpp
+++ b/src/wire/cloud.hpp
@@ -18,8 +18,8 @@
   Room room;
   double cache_gb = 0;
   double pull_gb_per_s = 0;
-  double price = 0;        // per hour
-  double spot_price = 0;   // per hour
+  double price = 0;       // per hour
+  double spot_price = 0;  // per hour
   Span boot;
   std::vector<ZoneId> zones;
 
--- a/src/wire/job_spec.cpp
+++ b/src/wire/job_spec.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxParts = 100'000;
-constexpr double kMaxAmount = 1e6;       // CPUs, accelerators and GB of one task
-constexpr double kMaxSeconds = 1e8;      // about three years
+constexpr double kMaxAmount = 1e6;   // CPUs, accelerators and GB of one task
+constexpr double kMaxSeconds = 1e8;  // about three years
 constexpr std::size_t kMaxName = 128;
 
 bool valid_name(const std::optional<std::string>& name) {
--- a/src/wire/job_spec.hpp
+++ b/src/wire/job_spec.hpp
@@ -42,7 +42,8 @@
   [[nodiscard]] bool gang() const { return shape == Shape::ensemble; }
 };
 
-/// True for an id in the form that the protocol gives ("req-" and 1 to 32 digits, letters or dashes).
+/// True for an id in the form that the protocol gives ("req-" and 1 to 32 digits, letters or
+/// dashes).
 bool valid_uid(std::string_view uid);
 
 /// Reads a job; on a fault, `why` names the field.
--- a/src/wire/json.hpp
+++ b/src/wire/json.hpp
@@ -20,7 +20,7 @@
 /// iterative parser, which needs no stack.
 inline bool parse(Document& doc, std::string_view text) {
   doc.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(text.data(),
-                                                                                   text.size());
+                                                                                    text.size());
   return !doc.HasParseError() && doc.IsObject();
 }
 
@@ -70,23 +70,56 @@
 class Writer {
  public:
   Writer() : writer_(buffer_) {}
-  Writer& open() { writer_.StartObject(); return *this; }
-  Writer& close() { writer_.EndObject(); return *this; }
-  Writer& open_list() { writer_.StartArray(); return *this; }
-  Writer& close_list() { writer_.EndArray(); return *this; }
-  Writer& key(const char* name) { writer_.Key(name); return *this; }
+  Writer& open() {
+    writer_.StartObject();
+    return *this;
+  }
+  Writer& close() {
+    writer_.EndObject();
+    return *this;
+  }
+  Writer& open_list() {
+    writer_.StartArray();
+    return *this;
+  }
+  Writer& close_list() {
+    writer_.EndArray();
+    return *this;
+  }
+  Writer& key(const char* name) {
+    writer_.Key(name);
+    return *this;
+  }
   Writer& value(std::string_view s) {
     writer_.String(s.data(), static_cast<rapidjson::SizeType>(s.size()));
     return *this;
   }
   Writer& value(const std::string& s) { return value(std::string_view(s)); }
   Writer& value(const char* s) { return value(std::string_view(s)); }
-  Writer& value(bool b) { writer_.Bool(b); return *this; }
-  Writer& value(double d) { writer_.Double(d); return *this; }
-  Writer& value(std::uint64_t n) { writer_.Uint64(n); return *this; }
-  Writer& value(std::int64_t n) { writer_.Int64(n); return *this; }
-  Writer& value(int n) { writer_.Int(n); return *this; }
-  Writer& null() { writer_.Null(); return *this; }
+  Writer& value(bool b) {
+    writer_.Bool(b);
+    return *this;
+  }
+  Writer& value(double d) {
+    writer_.Double(d);
+    return *this;
+  }
+  Writer& value(std::uint64_t n) {
+    writer_.Uint64(n);
+    return *this;
+  }
+  Writer& value(std::int64_t n) {
+    writer_.Int64(n);
+    return *this;
+  }
+  Writer& value(int n) {
+    writer_.Int(n);
+    return *this;
+  }
+  Writer& null() {
+    writer_.Null();
+    return *this;
+  }
   /// A value that is JSON already.
   Writer& raw(std::string_view text) {
     writer_.RawValue(text.data(), text.size(), rapidjson::kObjectType);
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -34,9 +34,12 @@
 
 const char* name_of(Verb verb) {
   switch (verb) {
-    case Verb::start: return "start";
-    case Verb::kill: return "kill";
-    case Verb::clear: return "clear";
+    case Verb::start:
+      return "start";
+    case Verb::kill:
+      return "kill";
+    case Verb::clear:
+      return "clear";
   }
   return "";
 }
--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,234 @@
+// The planner against the paper's figures: one machine whose GPUs stand for its processors.
+#include "planner/planner.hpp"
+
+#include "helpers.hpp"
+
+namespace marblevale {
+namespace {
+
+using testing::at;
+using testing::batch;
+using testing::gang;
+using testing::item;
+using testing::machine;
+
+bool never() { return false; }
+
+Reservation reserved(double start, double end, std::vector<std::string> hosts = {"m"}) {
+  Reservation r;
+  for (const auto& host : hosts) r.places.push_back({HostId(host), at(start), at(end)});
+  r.first = r.start = at(start);
+  r.end = at(end);
+  r.changed = false;
+  return r;
+}
+
+Profile one_machine(double gpus) {
+  Profile p;
+  p.add_machine(machine("m", gpus));
+  return p;
+}
+
+std::vector<std::string> names(const std::vector<Start>& starts) {
+  std::vector<std::string> out;
+  for (const Start& s : starts) out.push_back(s.uid.get());
+  return out;
+}
+
+// Figure 1: job A (two processors) ended early. E (longest) can only move once C has given up its
+// place; going back to the queue's front is what lets it start.
+TEST(Compression, ReturnsToTheFrontAfterEachMove) {
+  const JobSpec c = gang("req-c", 1, 2, 10);
+  const JobSpec e = gang("req-e", 1, 2, 10);
+  Reservations r{{c.uid, reserved(4, 14)}, {e.uid, reserved(14, 24)}};
+  Profile p = one_machine(2);
+  std::vector<QueueItem> queue{item(e, 1, 0), item(c, 2, 1)};
+  Planner planner(std::move(p), queue, r, at(0), never);
+  EXPECT_TRUE(planner.restore().empty());
+  std::size_t cursor = 0;
+  // E comes first in the queue, but cannot start now without delaying C, whose place at 4 is in
+  // the way; C can.
+  EXPECT_EQ(names(planner.compress(cursor)), std::vector<std::string>{"req-c"});
+}
+
+TEST(Compression, GoesBackToAHigherJobThatAMoveMadeRoomFor) {
+  // Two processors are idle. `high` (1 wide, 10 long) does not fit beside `wide`, which is planned
+  // at 5 and takes both; once `wide` has started now... it cannot; but `low`, which holds a place
+  // at 2, moves to now and frees the place that kept `high` out.
+  const JobSpec high = gang("req-high", 1, 1, 8);
+  const JobSpec low = gang("req-low", 1, 2, 9);
+  Reservations r{{high.uid, reserved(20, 28)}, {low.uid, reserved(2, 11)}};
+  Profile p = one_machine(3);
+  p.take(0, TeamId("x"), {at(0), at(1), {0, 0, 0}, Owner{77}});
+  Planner planner(std::move(p), {item(high, 1), item(low, 2)}, r, at(0), never);
+  planner.restore();
+  std::size_t cursor = 0;
+  EXPECT_EQ(names(planner.compress(cursor)), (std::vector<std::string>{"req-high", "req-low"}));
+}
+
+// Figure 3: after an early finish only jobs that can begin now are moved; F's planned start stays,
+// though it could be improved, and the hole remains.
+TEST(DelayedCompression, LeavesHolesThatNoJobCanBeginIn) {
+  const JobSpec d = gang("req-d", 1, 1, 10);
+  const JobSpec f = gang("req-f", 1, 3, 10);
+  Reservations r{{d.uid, reserved(6, 16)}, {f.uid, reserved(16, 26)}};
+  Profile p = one_machine(3);
+  p.take(0, TeamId("x"), {at(0), at(4), {0, 1, 0}, Owner{99}});  // C still runs until 4
+  Planner planner(std::move(p), {item(d, 1), item(f, 2)}, r, at(0), never);
+  planner.restore();
+  std::size_t cursor = 0;
+  EXPECT_EQ(names(planner.compress(cursor)), std::vector<std::string>{"req-d"});
+  EXPECT_EQ(r.at(f.uid).start, at(16));
+}
+
+// Section 2.2: a new job of lower priority must not take a hole that a higher one could move into.
+TEST(DelayedCompression, ArrivalMovesHigherJobsThatItCouldDelay) {
+  JobSpec f = gang("req-f", 1, 3, 10);
+  f.urgency = Urgency::urgent;
+  const JobSpec fresh = gang("req-new", 1, 3, 8);
+  Reservations r{{f.uid, reserved(16, 26)}};
+  Profile p = one_machine(3);
+  p.take(0, TeamId("x"), {at(0), at(4), {0, 1, 0}, Owner{99}});
+  Planner planner(std::move(p), {item(f, 1), item(fresh, 2)}, r, at(0), never);
+  planner.restore();
+  EXPECT_TRUE(planner.admit_arrivals());
+  EXPECT_EQ(r.at(f.uid).start, at(4));
+  EXPECT_EQ(r.at(fresh.uid).start, at(14));
+}
+
+TEST(DelayedCompression, ArrivalOfHigherPriorityTakesTheHole) {
+  const JobSpec f = gang("req-f", 1, 3, 10);
+  JobSpec fresh = gang("req-new", 1, 3, 8);
+  fresh.urgency = Urgency::urgent;
+  Reservations r{{f.uid, reserved(16, 26)}};
+  Profile p = one_machine(3);
+  p.take(0, TeamId("x"), {at(0), at(4), {0, 1, 0}, Owner{99}});
+  Planner planner(std::move(p), {item(f, 1), item(fresh, 2)}, r, at(0), never);
+  planner.restore();
+  planner.admit_arrivals();
+  EXPECT_EQ(r.at(fresh.uid).start, at(4));
+  EXPECT_EQ(r.at(f.uid).start, at(16));
+}
+
+TEST(Guarantee, NoArrivalDelaysAGrantedStart) {
+  const JobSpec granted = gang("req-a", 1, 2, 100);
+  JobSpec rush = gang("req-b", 1, 2, 50);
+  rush.urgency = Urgency::production;
+  Reservations r{{granted.uid, reserved(10, 110)}};
+  Planner planner(one_machine(2), {item(granted, 1), item(rush, 2)}, r, at(0), never);
+  planner.restore();
+  planner.admit_arrivals();
+  EXPECT_EQ(r.at(granted.uid).start, at(10));
+  EXPECT_GE(r.at(rush.uid).start, at(110));
+}
+
+TEST(Guarantee, OnlyOverrunsMoveItLaterAndThatIsReported) {
+  const JobSpec a = gang("req-a", 1, 2, 10);
+  Reservations r{{a.uid, reserved(5, 15)}};
+  Profile p = one_machine(2);
+  p.take(0, TeamId("x"), {at(0), at(8), {0, 2, 0}, Owner{99}});
+  Planner planner(std::move(p), {item(a, 1)}, r, at(0), never);
+  const auto moved = planner.restore();
+  ASSERT_EQ(moved.size(), 1U);
+  EXPECT_EQ(moved[0].from, at(5));
+  EXPECT_EQ(moved[0].to, at(8));
+}
+
+TEST(Guarantee, EveryJobIsReservedEvenIfNoMachineCanTakeIt) {
+  const JobSpec wide = gang("req-w", 1, 16, 10);
+  Reservations r;
+  Planner planner(one_machine(2), {item(wide, 1)}, r, at(0), never);
+  planner.admit_arrivals();
+  EXPECT_GT(r.at(wide.uid).start, at(0));
+}
+
+TEST(Rounds, ABudgetStopsTheRoundAndTheNextGoesOn) {
+  std::vector<JobSpec> jobs;
+  for (int i = 0; i < 4; ++i) jobs.push_back(gang("req-" + std::to_string(i), 1, 1, 10 + i));
+  Reservations r;
+  for (const auto& job : jobs) r.emplace(job.uid, reserved(50, 60));
+  int left = 1;
+  const auto spent = [&left] { return left-- <= 0; };
+  std::vector<QueueItem> queue;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    queue.push_back(item(jobs[i], i + 1));
+    queue.back().not_before = i < 2 ? at(100) : at(0);  // the first two cannot start
+  }
+  std::size_t cursor = 0;
+  Planner first(one_machine(4), queue, r, at(0), spent);
+  EXPECT_TRUE(first.compress(cursor).empty());
+  EXPECT_EQ(cursor, 1U);
+  Planner second(one_machine(4), queue, r, at(0), never);
+  EXPECT_EQ(names(second.compress(cursor)), (std::vector<std::string>{"req-2", "req-3"}));
+  EXPECT_EQ(cursor, 0U);
+}
+
+TEST(Queue, OrderIsUrgencyThenGuaranteeThenShortestThenAcceptance) {
+  JobSpec urgent = gang("req-u", 1, 1, 500);
+  urgent.urgency = Urgency::urgent;
+  const JobSpec within = gang("req-g", 1, 1, 400);
+  const JobSpec brief = gang("req-s", 1, 1, 10);
+  const JobSpec lengthy = gang("req-l", 1, 1, 20);
+  auto g = item(within, 1);
+  g.guaranteed = true;
+  std::vector<QueueItem> queue{item(lengthy, 2), item(brief, 3), g, item(urgent, 4)};
+  std::sort(queue.begin(), queue.end(), before);
+  EXPECT_EQ(queue[0].uid, urgent.uid);
+  EXPECT_EQ(queue[1].uid, within.uid);
+  EXPECT_EQ(queue[2].uid, brief.uid);
+  EXPECT_EQ(queue[3].uid, lengthy.uid);
+}
+
+TEST(Profile, TheTeamsLimitIsADimension) {
+  const JobSpec a = gang("req-a", 1, 3, 10);
+  Profile p = one_machine(8);
+  p.set_team(TeamId("crew"), {1e12, 4, 1e12});
+  p.take(0, TeamId("crew"), {at(0), at(7), {0, 2, 0}, Owner{99}});
+  const auto plan = p.earliest(item(a, 1).demand, at(0));
+  ASSERT_TRUE(plan);
+  EXPECT_EQ(plan->start(), at(7));
+}
+
+TEST(Profile, TogetherSpreadDistrictBuildsAndLoanersAreKept) {
+  Profile p;
+  p.add_machine(machine("a1", 2, "a"));
+  p.add_machine(machine("b1", 2, "b"));
+  p.add_machine(machine("b2", 2, "b"));
+  JobSpec job = gang("req-a", 4, 1, 10);
+  job.together = true;
+  auto plan = p.earliest(item(job, 1).demand, at(0));
+  ASSERT_TRUE(plan);
+  for (const Spot& s : plan->spots) EXPECT_EQ(p.machines()[s.machine].zone, ZoneId("b"));
+
+  job.together = false;
+  job.spread = true;
+  plan = p.earliest(item(job, 1).demand, at(0));
+  ASSERT_TRUE(plan);
+  std::size_t in_b = 0;
+  for (const Spot& s : plan->spots) in_b += p.machines()[s.machine].zone == ZoneId("b") ? 1 : 0;
+  EXPECT_EQ(in_b, 2U);
+
+  PlanMachine spot = machine("c1", 8, "c");
+  spot.spot = true;
+  job = gang("req-b", 1, 1, 10);
+  EXPECT_FALSE(Profile::allowed(job, spot));
+  job.loaners = true;
+  EXPECT_TRUE(Profile::allowed(job, spot));
+  job.builds = {"other"};
+  EXPECT_FALSE(Profile::allowed(job, spot));
+  job.builds.clear();
+  job.district = ZoneId("a");
+  EXPECT_FALSE(Profile::allowed(job, spot));
+}
+
+TEST(Profile, ArrayTasksStartSeparatelyUnderOneGuarantee) {
+  const JobSpec array = batch("req-a", 5, 1, 10);
+  const auto plan = one_machine(2).earliest(item(array, 1).demand, at(0));
+  ASSERT_TRUE(plan);
+  EXPECT_EQ(plan->first_start(), at(0));
+  EXPECT_EQ(plan->start(), at(20));
+  EXPECT_EQ(plan->end(), at(30));
+}
+
+}  // namespace
+}  // namespace marblevale
--- /dev/null
+++ b/tests/proof_test.cpp
@@ -0,0 +1,110 @@
+// What reports prove: late starts, repeated starts, late reports, lapsed sessions.
+#include "blocks/proof.hpp"
+
+#include "helpers.hpp"
+
+namespace marblevale {
+namespace {
+
+constexpr std::uint64_t kWarrant = 10;
+const TaskId kTask{Uid("req-1"), 0};
+
+TaskRecord bound() {
+  TaskRecord task;
+  task.state = TaskState::bound;
+  task.attempt = Attempt(2);
+  task.zone = ZoneId("a");
+  task.host = HostId("vm-1");
+  task.tenure = Tenure(1);
+  return task;
+}
+
+Report report(std::uint64_t tenure, std::uint64_t tally, std::uint64_t warrant,
+              std::vector<ReportedTask> parts = {}) {
+  Report r;
+  r.host = HostId("vm-1");
+  r.tenure = Tenure(tenure);
+  r.tally = Tally(tally);
+  r.warrant = Warrant(warrant);
+  r.parts = std::move(parts);
+  return r;
+}
+
+Finding look(const WorkerView& view) { return examine(kTask, bound(), view, Warrant(kWarrant)); }
+
+TEST(Proof, AReportWithoutTheTaskProvesNothingBeforeTheWorkerSawOurWarrant) {
+  // An earlier holder's start may still be on its way to the worker.
+  WorkerView view;
+  view.take(report(1, 5, kWarrant - 1));
+  EXPECT_EQ(look(view), Finding::absent);
+  view.take(report(1, 6, kWarrant));
+  EXPECT_EQ(look(view), Finding::never_here);
+}
+
+TEST(Proof, ADirectStartCanArriveLateUntilAHigherWarrantIsSeen) {
+  WorkerView view;
+  view.take(report(1, 5, kWarrant));
+  view.direct_starts[{kTask, Attempt(2)}] = Warrant(kWarrant);
+  view.take(report(1, 6, kWarrant));
+  view.prune();
+  EXPECT_EQ(look(view), Finding::absent);
+  view.take(report(1, 7, kWarrant + 1));
+  view.prune();
+  EXPECT_EQ(examine(kTask, bound(), view, Warrant(kWarrant + 1)), Finding::never_here);
+}
+
+TEST(Proof, AStartInAnAnswerIsSettledByTheNextReport) {
+  WorkerView view;
+  view.take(report(1, 5, kWarrant));
+  view.answered_starts[{kTask, Attempt(2)}] = Tally(5);
+  EXPECT_EQ(look(view), Finding::absent);
+  view.take(report(1, 6, kWarrant));
+  EXPECT_EQ(look(view), Finding::never_here);
+}
+
+TEST(Proof, ANewSessionIsProofAndALateReportOfTheOldOneIsDropped) {
+  WorkerView view;
+  EXPECT_TRUE(
+      view.take(report(1, 5, kWarrant, {{kTask, Attempt(2), TaskStatus::running, "", false}})));
+  EXPECT_EQ(look(view), Finding::present);
+  EXPECT_TRUE(view.take(report(2, 6, kWarrant)));
+  EXPECT_EQ(look(view), Finding::lost);
+  EXPECT_FALSE(
+      view.take(report(1, 9, kWarrant, {{kTask, Attempt(2), TaskStatus::running, "", false}})));
+  EXPECT_EQ(look(view), Finding::lost);
+}
+
+TEST(Proof, AnOlderTallyIsDropped) {
+  WorkerView view;
+  view.take(report(1, 8, kWarrant, {{kTask, Attempt(2), TaskStatus::running, "", false}}));
+  EXPECT_FALSE(view.take(report(1, 7, kWarrant)));
+  EXPECT_EQ(look(view), Finding::present);
+}
+
+TEST(Proof, AnotherAttemptOfTheTaskIsNotThisOne) {
+  WorkerView view;
+  view.take(report(1, 5, kWarrant, {{kTask, Attempt(1), TaskStatus::ended, "peers", false}}));
+  EXPECT_EQ(look(view), Finding::never_here);
+}
+
+TEST(Proof, SilenceProvesNothing) { EXPECT_EQ(look(WorkerView{}), Finding::absent); }
+
+TEST(Ends, SavedProgressIsKeptAndALostTaskFallsBackToItsSnapshot) {
+  const JobSpec job = testing::gang("req-1", 1, 1, 100);  // saves every 10 s
+  TaskRecord task = bound();
+  task.running = testing::at(1);
+  apply_end(task, job, "halted", true, testing::at(36));
+  EXPECT_EQ(task.state, TaskState::idle);
+  EXPECT_EQ(task.progress, from_seconds(35));
+  task = bound();
+  task.running = testing::at(1);
+  apply_end(task, job, "machine gone", false, testing::at(36));
+  EXPECT_EQ(task.progress, from_seconds(30));
+  task = bound();
+  apply_end(task, job, "done", false, testing::at(36));
+  EXPECT_EQ(task.state, TaskState::done);
+  EXPECT_EQ(task.attempt, Attempt(2));
+}
+
+}  // namespace
+}  // namespace marblevale
