--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -83,6 +83,36 @@
   return teams;
 }
 
+std::vector<Objective> read_objectives(const toml::table& cluster) {
+  std::vector<Objective> objectives;
+  const auto* list = cluster["objectives"].as_array();
+  if (list == nullptr) return objectives;
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    const std::string at = "cluster.objectives[" + std::to_string(i) + "]";
+    const auto* item = list->get(i)->as_table();
+    if (item == nullptr) fail(at, "not a table");
+    const std::string kind = text(*item, at, "kind");
+    Objective objective;
+    if (kind == "wait") {
+      objective.kind = Objective::Kind::wait;
+    } else if (kind == "finished") {
+      objective.kind = Objective::Kind::finished;
+    } else if (kind == "deadline") {
+      objective.kind = Objective::Kind::deadline;
+    } else if (kind == "guarantee") {
+      objective.kind = Objective::Kind::guarantee;
+    } else {
+      continue;  // kinds of later versions
+    }
+    if (item->contains("class")) objective.workclass = text(*item, at, "class");
+    if (objective.kind != Objective::Kind::deadline) {
+      objective.within = from_seconds(positive(*item, at, "within_s"));
+    }
+    objectives.push_back(std::move(objective));
+  }
+  return objectives;
+}
+
 std::vector<ZoneId> read_zones(const toml::table& cluster) {
   std::vector<ZoneId> zones;
   const auto* list = cluster["zones"].as_array();
@@ -151,6 +181,7 @@
   s.zones = read_zones(cluster);
   s.clock_error = from_seconds(number(cluster, "cluster", "clock_error_ms", 0) / 1000);
   s.teams = read_teams(cluster);
+  s.objectives = read_objectives(cluster);
 
   const auto& workers = table(cluster, "cluster", "workers");
   const std::string at = "cluster.workers";
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -33,6 +33,14 @@
   [[nodiscard]] Room guarantee() const;
 };
 
+/// What is expected of a class of jobs.
+struct Objective {
+  enum class Kind { wait, finished, deadline, guarantee };
+  Kind kind = Kind::wait;
+  std::string workclass;  // empty: any
+  Span within;            // not of a deadline
+};
+
 struct WorkerTimes {
   Span report;
   Span lease;
@@ -61,6 +69,7 @@
   std::vector<ZoneId> zones;
   Span clock_error;
   std::vector<Team> teams;
+  std::vector<Objective> objectives;
   WorkerTimes workers;
   StoreLimits store;
   double cloud_rps = 1;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -11,10 +11,12 @@
 constexpr Span kTick{500};
 constexpr Span kCoalesce{5};
 constexpr Span kWantEvery{1000};
+constexpr Span kSummaryEvery{10'000};
 constexpr Span kSaveMargin{3'000};  // before a machine is taken back
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
 constexpr Span kLeastRun{5'000};
+constexpr double kEstimateMargin = 1.15;  // estimates are often too low
 constexpr std::size_t kMostWanting = 40;
 
 Span retry_pause(std::uint32_t faults) {
@@ -181,6 +183,9 @@
     note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
                         " s later: tasks before it overran, or a machine was lost");
   }
+  for (const auto& [uid, since] : made_room_) {
+    if (begin - since < kRoomEvery) planner.advance(uid);
+  }
   const bool admitted = planner.admit_arrivals();
   // What was started is taken out of the queue by the next round, which sees it as placed.
   const auto starts = planner.compress(cursor_);
@@ -188,6 +193,7 @@
   if (starts.empty() && admitted && cursor_ == 0) displace(planner);
   if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
   persist();
+  if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
   round_over_ = clock_.steady();
   round_took_ = round_over_ - begin;
   if (!admitted || cursor_ != 0) wake();
@@ -474,6 +480,31 @@
   return item;
 }
 
+void Granting::set_target(QueueItem& item, const JobSpec& job) const {
+  const Wall now = clock_.wall();
+  for (const Objective& o : settings_.objectives) {
+    if (!o.workclass.empty() && o.workclass != job.workclass) continue;
+    std::optional<Wall> start;
+    switch (o.kind) {
+      case Objective::Kind::wait:
+        start = item.accepted + o.within;
+        break;
+      case Objective::Kind::finished:
+        start = item.accepted + o.within - item.demand.run * kEstimateMargin;
+        break;
+      case Objective::Kind::deadline:
+        if (job.due) start = item.accepted + *job.due - item.demand.run * kEstimateMargin;
+        break;
+      case Objective::Kind::guarantee:
+        break;  // has a rank of its own
+    }
+    if (!start) continue;
+    item.missed = true;
+    if (*start > now && (!item.target || *start < *item.target)) item.target = start;
+  }
+  if (item.target) item.missed = false;
+}
+
 std::vector<QueueItem> Granting::build_queue() const {
   const auto guaranteed = guaranteed_jobs();
   std::vector<QueueItem> queue;
@@ -482,6 +513,7 @@
     auto item = queue_item(uid, job.record);
     if (!item) continue;
     item->guaranteed = guaranteed.contains(uid);
+    set_target(*item, job.record.spec);
     queue.push_back(std::move(*item));
   }
   return queue;
@@ -734,6 +766,26 @@
   return true;
 }
 
+void Granting::summarize(const Planner& planner) {
+  last_summary_ = clock_.steady();
+  const Wall now = clock_.wall();
+  Room whole{};
+  Room free{};
+  std::size_t up = 0;
+  for (std::size_t i = 0; i < planner.profile().machines().size(); ++i) {
+    if (planner.profile().machines()[i].ready > now) continue;
+    ++up;
+    whole += planner.profile().lane(i).whole();
+    free += planner.profile().lane(i).free(now, now + Span{1});
+  }
+  std::size_t waiting = 0;
+  for (const QueueItem& item : planner.queue()) waiting += item.demand.tasks;
+  spdlog::info(
+      "granting: {} machines up, {} coming; {:.0f} of {:.0f} GPUs free; {} jobs, {} tasks wait", up,
+      planner.profile().machines().size() - up, free.gpus, whole.gpus, planner.queue().size(),
+      waiting);
+}
+
 void Granting::want_machines(const Planner& planner) {
   last_want_ = clock_.steady();
   const Wall now = clock_.wall();
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -55,11 +55,13 @@
   [[nodiscard]] Wall likely_end(const TaskRecord& task, const JobSpec& job) const;
   std::vector<QueueItem> build_queue() const;
   [[nodiscard]] std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job) const;
+  void set_target(QueueItem& item, const JobSpec& job) const;
   [[nodiscard]] std::set<Uid> guaranteed_jobs() const;
   void release(const Start& start, const Planner& planner);
   void commit_slices(Txn txn, std::vector<SliceRecord> slices);
   void displace(const Planner& planner);
   bool make_room(const QueueItem& item, const std::set<Uid>& guaranteed);
+  void summarize(const Planner& planner);
   void want_machines(const Planner& planner);
   void persist();
   void note(const Uid& uid, std::string what);
@@ -83,6 +85,7 @@
   Steady round_over_{};
   Span round_took_{};
   Steady last_want_{-1'000'000};
+  Steady last_summary_{-1'000'000};
   Timer timer_;
 };
 
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -14,6 +14,12 @@
   const JobSpec& y = *b.demand.job;
   if (x.urgency != y.urgency) return x.urgency > y.urgency;
   if (a.guaranteed != b.guaranteed) return a.guaranteed;
+  if (a.missed != b.missed) return b.missed;
+  if (a.target != b.target) {
+    // One without an objective waits behind those that still can meet theirs.
+    if (!a.target || !b.target) return a.target.has_value();
+    return *a.target < *b.target;
+  }
   if (a.demand.run != b.demand.run) return a.demand.run < b.demand.run;
   if (a.accepted != b.accepted) return a.accepted < b.accepted;
   return a.uid < b.uid;
@@ -166,6 +172,21 @@
   return true;
 }
 
+void Planner::advance(const Uid& uid) {
+  for (const QueueItem& item : queue_) {
+    const auto it = reservations_.find(uid);
+    if (item.uid != uid || it == reservations_.end()) continue;
+    profile_.release(item.owner);
+    const auto plan = profile_.earliest(item.demand, now_);
+    if (plan && plan->start() < it->second.start) {
+      set(item, *plan);
+    } else {
+      put_back(item);
+    }
+    return;
+  }
+}
+
 std::vector<Start> Planner::compress(std::size_t& cursor) {
   std::vector<Start> starts;
   std::vector<bool> gone(queue_.size(), false);
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -20,10 +20,13 @@
   std::vector<std::uint32_t> parts;  // the tasks to be placed, as many as demand.tasks
   bool guaranteed = false;           // within its team's guarantee
   Wall accepted;
-  Wall not_before;  // after a fault: when it may be tried again
+  Wall not_before;             // after a fault: when it may be tried again
+  std::optional<Wall> target;  // the next start time that meets an objective of its class
+  bool missed = false;         // it has objectives, and all their start times have passed
 };
 
-/// Urgency, then work within its team's guarantee, then Shortest Job First, then acceptance.
+/// Urgency, then work within its team's guarantee, then the nearest start that still meets an
+/// objective, then Shortest Job First, then acceptance.
 bool before(const QueueItem& a, const QueueItem& b);
 
 /// A job's reservation: machines are named, since the profile is built anew for each round.
@@ -67,6 +70,10 @@
   /// The arrival step for jobs without a reservation (the paper's 2.2). False: budget used up.
   bool admit_arrivals();
 
+  /// Room was made for this job by stopping others: its reservation moves to that room at once, so
+  /// that nobody else takes it piece by piece.
+  void advance(const Uid& uid);
+
   /// Starts what can run now, by priority, going back to the queue's front after each move (2.1,
   /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
   std::vector<Start> compress(std::size_t& cursor);
