--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -228,6 +228,8 @@
                  [this, job, tries, answer](const CommitResult& r) {
                    switch (r.fate) {
                      case Fate::done: {
+                       spdlog::debug("admission: {} accepted: {} of {}, {} tasks", job->uid.get(),
+                                     job->workclass, job->crew.get(), job->parts);
                        UserAnswer accepted = state(job->uid, "queued");
                        accepted.status = 201;
                        answer(accepted);
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -429,6 +429,8 @@
     case Finding::present:
       if (task.running.ms == 0 && reported(view, id, task.attempt)->status == TaskStatus::running) {
         task.running = clock_.wall();
+        spdlog::debug("holder: {} try {} runs on {}", id.str(), task.attempt.get(),
+                      task.host.get());
       }
       break;
     case Finding::absent: {
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -16,6 +16,9 @@
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
 constexpr Span kLeastRun{5'000};
+constexpr double kImpatientLoss = 60;  // of a victim without a deadline: its start was the point
+constexpr Span kFreshStart{30'000};
+constexpr double kFreshLoss = 15;         // of a victim that has hardly begun
 constexpr double kEstimateMargin = 1.15;  // estimates are often too low
 constexpr std::size_t kMostWanting = 40;
 
@@ -660,9 +663,12 @@
             item.guaranteed && other->spec.crew != spec.crew && !guaranteed.contains(id.uid);
         if ((!lower && !beyond) || (other->spec.gang() && other->spec.parts > 1)) continue;
         const Span ran = task->running.ms == 0 ? Span{0} : clock_.wall() - task->running;
-        const double lost =
-            other->spec.snapshot > Span{0} ? other->spec.stash.seconds() : ran.seconds();
-        place.victims.push_back({id, other->spec.need, lost + (lower ? 0 : 20)});
+        // What a restart costs: the unsaved work, another image fetch perhaps, and its own wait.
+        double lost = other->spec.snapshot > Span{0} ? other->spec.stash.seconds() : ran.seconds();
+        lost += (type->pull_gb_per_s > 0 ? other->spec.image_gb / type->pull_gb_per_s : 0) * 0.5;
+        if (!other->spec.due) lost += kImpatientLoss;
+        if (ran < kFreshStart) lost += kFreshLoss;
+        place.victims.push_back({id, other->spec.need, lost});
       }
     }
     PlanMachine rules;
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 constexpr std::size_t kMaxMoments = 200;
-}
+constexpr double kPriceSeconds = 30;  // waiting that the dearest machine, used whole, is worth
+constexpr double kPatientFetch = 0.3;
+}  // namespace
 
 void Lane::release(Owner owner) {
   std::erase_if(taken_, [&](const Taken& t) { return t.owner == owner; });
@@ -52,6 +54,7 @@
 }
 
 std::size_t Profile::add_machine(PlanMachine machine) {
+  dearest_ = std::max(dearest_, machine.price);
   lanes_.emplace_back(machine.room);
   machines_->push_back(std::move(machine));
   return machines_->size() - 1;
@@ -141,6 +144,10 @@
   return true;
 }
 
+double Profile::price_weight(double share, const PlanMachine& machine) const {
+  return dearest_ > 0 ? kPriceSeconds * share * machine.price / dearest_ : 0;
+}
+
 /// Tasks placed so far while one demand is tried at one moment: what they take of each machine.
 struct Profile::Trial {
   std::vector<std::pair<std::size_t, Room>> used;
@@ -188,7 +195,9 @@
     const double share = share_of(job.need, m.room);
     const double tie =
         static_cast<double>(std::hash<std::string>{}(job.uid.get() + m.host.get()) % 997) / 1e5;
-    const double score = fetch.seconds() + share * m.price +
+    // A job with a deadline can rather wait for its image than take what others can't do without.
+    const double score = fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
+                         price_weight(share, m) +
                          share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) +
                          (m.slow ? (job.gang() ? 1000.0 : 20.0) : 0.0) + tie;
     candidates.push_back({i, free, score, run});
@@ -252,8 +261,8 @@
     if (!plan) continue;
     double cost = (plan->end() - at).seconds();
     for (const Spot& s : plan->spots) {
-      cost += (*machines_)[s.machine].price *
-              share_of(demand.job->need, (*machines_)[s.machine].room) / demand.tasks;
+      const PlanMachine& m = (*machines_)[s.machine];
+      cost += price_weight(share_of(demand.job->need, m.room), m) / demand.tasks;
       if ((*machines_)[s.machine].slow) cost += 1000;
     }
     cost +=
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -112,11 +112,13 @@
   std::optional<Plan> place_in(const Demand& demand, Wall at, std::optional<ZoneId> zone,
                                bool partly) const;
   std::vector<Wall> moments(Wall from) const;
+  [[nodiscard]] double price_weight(double share, const PlanMachine& machine) const;
 
   // Shared between copies of the profile: only what is taken differs between them.
   std::shared_ptr<std::vector<PlanMachine>> machines_ =
       std::make_shared<std::vector<PlanMachine>>();
   std::vector<Lane> lanes_;
+  double dearest_ = 0;
   std::vector<std::pair<TeamId, Lane>> teams_;
 };
 
