--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -20,7 +20,9 @@
 constexpr Span kFreshStart{30'000};
 constexpr double kFreshLoss = 15;         // of a victim that has hardly begun
 constexpr double kEstimateMargin = 1.15;  // estimates are often too low
-constexpr std::size_t kMostWanting = 40;
+constexpr std::size_t kMostWanting = 30;
+constexpr Span kSoon{20'000};           // a start this near needs no new machine
+constexpr Span kUnplacedWait{600'000};  // of a job that no machine can take
 
 Span retry_pause(std::uint32_t faults) {
   // The first retry is at once, elsewhere; a job that keeps failing gives way to the others.
@@ -797,28 +799,24 @@
   const Wall now = clock_.wall();
   std::vector<Wanting> wanting;
   std::set<HostId> in_use;
-  for (const QueueItem& item : planner.queue()) {
-    const auto r = reservations_.find(item.uid);
-    if (r == reservations_.end() || item.demand.tasks == 0) continue;
-    for (const auto& place : r->second.places) {
+  for (const auto& [uid, r] : reservations_) {
+    for (const auto& place : r.places) {
       if (place.start - now < settings_.tuning.idle_return) in_use.insert(place.host);
     }
-    if (wanting.size() >= kMostWanting) continue;
-    // Array tasks count one by one: those that start soon anyhow need no machine.
-    std::uint32_t late = item.demand.tasks;
-    Span wait{0};
-    if (!r->second.places.empty()) {
+  }
+  // Reservations lag behind what has become possible since (holes are kept on purpose), so what is
+  // missing is read from the plan that the queue would get if it were laid out anew.
+  for (const auto& [item, plan] : planner.outlook(kMostWanting)) {
+    std::uint32_t late = item->demand.tasks;
+    Span wait = kUnplacedWait;
+    if (plan) {
       late = 0;
-      for (const auto& place : r->second.places) {
-        if (place.start - now > Span{20'000}) ++late;
-        wait = std::max(wait, place.start - now);
-      }
-      if (item.demand.job->gang() && late > 0) late = item.demand.tasks;
-    } else {
-      wait = r->second.start - now;
+      wait = plan->start() - now;
+      for (const Spot& spot : plan->spots) late += spot.start - now > kSoon ? 1 : 0;
+      if (item->demand.job->gang() && late > 0) late = item->demand.tasks;
     }
     if (late == 0) continue;
-    wanting.push_back({item.demand.job, late, item.demand.run, wait, item.demand.zone});
+    wanting.push_back({item->demand.job, late, item->demand.run, wait, item->demand.zone});
   }
   std::map<TeamId, Room> team_room;
   for (const Team& team : settings_.teams) {
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -157,6 +157,21 @@
   }
 }
 
+std::vector<std::pair<const QueueItem*, std::optional<Plan>>> Planner::outlook(
+    std::size_t most) const {
+  std::vector<std::pair<const QueueItem*, std::optional<Plan>>> out;
+  Profile scratch = profile_;
+  for (const QueueItem& item : queue_) scratch.release(item.owner);
+  for (const QueueItem& item : queue_) {
+    if (item.demand.tasks == 0) continue;
+    if (out.size() >= most) break;
+    auto plan = scratch.earliest(item.demand, now_);
+    if (plan) scratch.take(*plan, *item.demand.job, item.owner);
+    out.emplace_back(&item, std::move(plan));
+  }
+  return out;
+}
+
 bool Planner::admit_arrivals() {
   std::vector<const QueueItem*> fresh;
   for (const QueueItem& item : queue_) {
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -78,6 +78,11 @@
   /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
   std::vector<Start> compress(std::size_t& cursor);
 
+  /// What the queue's first `most` jobs would get if all were placed anew, by priority. Nothing is
+  /// changed by asking.
+  [[nodiscard]] std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(
+      std::size_t most) const;
+
   [[nodiscard]] const Profile& profile() const { return profile_; }
   [[nodiscard]] const std::vector<QueueItem>& queue() const { return queue_; }
 
