--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -54,7 +54,7 @@
   Span round_budget{60};  // time of one round of decisions
   Span block_lease{30'000};
   Span session_lease{4'000};
-  Span idle_return{60'000};  // a machine idle for this long goes back
+  Span idle_return{90'000};  // a machine idle for this long goes back
   std::uint32_t max_open_jobs = 5000;
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace marblevale {
 
@@ -15,7 +16,9 @@
 constexpr Span kTombstone{120'000};  // longer than any list lags
 constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 50;
-constexpr Span kProvenRun{4'000};  // a task that ran this long elsewhere is not at fault
+constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
+constexpr double kSurplusPatience = 0.2;  // of the idle time, for those beyond the spare ones
+constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
 
 }  // namespace
@@ -300,6 +303,33 @@
                  [this, host = machine.host](const CommitResult&) { marking_.erase(host); });
 }
 
+void Fleet::return_idle() {
+  // A few idle machines are the room in which the next jobs start at once; what is idle beyond them
+  // goes back soon.
+  const auto& machines = mirror_.records().machines;
+  std::erase_if(idle_since_, [&](const auto& entry) {
+    const auto it = machines.find(entry.first);
+    return it == machines.end() || it->second.record.state != MachineState::up;
+  });
+  const auto up =
+      static_cast<double>(std::count_if(machines.begin(), machines.end(), [](const auto& entry) {
+        return entry.second.record.state == MachineState::up;
+      }));
+  const auto spare = static_cast<std::size_t>(std::ceil(up * kSpareShare));
+  std::vector<std::pair<Steady, HostId>> idle;
+  for (const auto& [host, since] : idle_since_) idle.emplace_back(since, host);
+  std::sort(idle.begin(), idle.end());
+  const Steady now = clock_.steady();
+  std::size_t left = idle.size();
+  for (const auto& [since, host] : idle) {
+    const Span most = left > spare ? settings_.tuning.idle_return * kSurplusPatience
+                                   : settings_.tuning.idle_return;
+    if (now - since <= most) continue;
+    condemn(host, "idle");
+    --left;
+  }
+}
+
 void Fleet::pursue_machines() {
   const auto& records = mirror_.records();
   const Steady now = clock_.steady();
@@ -332,8 +362,7 @@
           idle_since_.erase(host);
           break;
         }
-        const auto since = idle_since_.try_emplace(host, now).first->second;
-        if (now - since > settings_.tuning.idle_return) condemn(host, "idle");
+        idle_since_.try_emplace(host, now);
         break;
       }
       case MachineState::deleting:
@@ -341,6 +370,7 @@
         break;
     }
   }
+  return_idle();
   for (const Booting& b : booting()) {
     for (const auto& [name, hire] : records.hires) {
       const auto& hosts = hire.record.hosts;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -52,6 +52,7 @@
   void take_list(const MachineList& page, Steady sent, std::set<HostId> seen);
   void pursue_hires();
   void pursue_machines();
+  void return_idle();
   void judge_suspect(const MachineRecord& machine, Stamp stamp);
   void pursue_deletions();
   void rent();
