--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -5,7 +5,8 @@
 namespace marblevale {
 
 namespace {
-constexpr Span kStateSilence{3'500};
+constexpr Span kStateSilence{2'500};  // without an answer: what peers are told
+constexpr Span kAloneSilence{6'000};  // and when users are sent elsewhere, if a peer has answers
 constexpr std::string_view kJobs = "/api/jobs";
 }  // namespace
 
@@ -39,27 +40,30 @@
   pulses_.begin();
 }
 
-bool Service::state_answers() const {
-  return mirror_.ready() && clock_.steady() - mirror_.fresh_until() < kStateSilence;
+bool Service::state_answers(Span within) const {
+  return mirror_.ready() && clock_.steady() - mirror_.fresh_until() < within;
 }
 
-bool Service::healthy() const {
+bool Service::healthy() {
   // A controller that alone lacks the state service sends users elsewhere; when all lack it, being
   // skipped would only cost time afterwards.
-  return mirror_.ready() && (state_answers() || !pulses_.peer_has_state());
+  const bool now = mirror_.ready() && (state_answers(kAloneSilence) || !pulses_.peer_has_state());
+  if (now != healthy_) spdlog::info("service: {}", now ? "takes users" : "sends users elsewhere");
+  healthy_ = now;
+  return now;
 }
 
 Pulse Service::compose() {
   Pulse pulse;
   pulse.node = settings_.node.get();
   pulse.nonce = election_.nonce().get();
-  pulse.state_ok = state_answers();
+  pulse.state_ok = state_answers(kStateSilence);
   pulse.last_cancel_ms = admission_.last_cancel().ms;
   for (const ZoneId& zone : holder_.complaints()) {
     pulse.complaints.push_back(zone.get());
     grants_.complaint(zone, settings_.node);
   }
-  if (!state_answers() && mirror_.ready()) {
+  if (!pulse.state_ok && mirror_.ready()) {
     if (const auto since = pulses_.no_cancel_since(mirror_.fresh_until_wall())) {
       holder_.extend_freshness(*since);
     }
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -19,8 +19,8 @@
 
  private:
   void serve(const HttpRequest& request, ResponderPtr responder);
-  [[nodiscard]] bool healthy() const;
-  [[nodiscard]] bool state_answers() const;
+  bool healthy();
+  [[nodiscard]] bool state_answers(Span within) const;
   Pulse compose();
   void heard(const Pulse& pulse);
 
@@ -37,6 +37,7 @@
   Holder holder_;
   Admission admission_;
   Pulses pulses_;
+  bool healthy_ = false;
   HttpServer users_;
 };
 
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -15,6 +15,8 @@
 constexpr Span kRenewEvery{8'000};
 constexpr Span kCancelMargin{4'000};
 constexpr Span kStrayWindow{20'000};
+constexpr Span kStrayTime{6'000};
+constexpr Span kStrayRecent{5'000};
 constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
 constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
@@ -174,7 +176,11 @@
     std::size_t again = 0;
     for (auto& [host, times] : hosts) {
       std::erase_if(times, [&](Steady t) { return now - t > kStrayWindow; });
-      if (times.size() >= 2) ++again;
+      // Sent on to the holder, and back again for longer than a holder's crash takes to be noticed.
+      if (times.size() >= 2 && times.back() - times.front() >= kStrayTime &&
+          now - times.back() < kStrayRecent) {
+        ++again;
+      }
     }
     std::erase_if(hosts, [](const auto& entry) { return entry.second.empty(); });
     if (again >= 2 && holding(zone) == Holding::none) out.push_back(zone);
@@ -192,7 +198,8 @@
                        it->second.record.holder != settings_.node;
     if (!known) return {421, "{}"};
     auto& seen = strays_[report->district][report->host];
-    if (seen.size() < 8) seen.push_back(now);
+    if (seen.size() >= 8) seen.erase(seen.begin());
+    seen.push_back(now);
     json::Writer out;
     out.open().put("steward", it->second.record.holder.get()).close();
     return {421, out.str()};
--- a/src/peers/pulse.cpp
+++ b/src/peers/pulse.cpp
@@ -10,7 +10,7 @@
 namespace {
 constexpr Span kEvery{1000};
 constexpr Span kDeadline{900};
-constexpr Span kLife{3500};
+constexpr Span kLife{2500};
 constexpr std::size_t kMaxBytes = 16 * 1024;
 }  // namespace
 
