--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -102,18 +102,22 @@
     then({true, std::nullopt, *known});
     return;
   }
-  // Equal reads are joined only while the first has not been sent back: an answer must not be older
-  // than the question, so one that is already on its way serves those that came before it was sent.
+  // Equal questions share a read, but never one that was sent before the question came: its answer
+  // may be older than what another controller has told the user meanwhile.
   const auto it = reading_.find(uid);
   if (it != reading_.end()) {
-    it->second.push_back(std::move(then));
+    it->second.next.push_back(std::move(then));
     return;
   }
   if (reading_.size() >= kMaxReads) {
     then({});
     return;
   }
-  reading_[uid].push_back(std::move(then));
+  reading_[uid].current.push_back(std::move(then));
+  read(uid);
+}
+
+void Admission::read(const Uid& uid) {
   store_.read(keys::job(uid), [this, uid](const ReadResult& r) {
     if (!r.ok) {
       found(uid, {});
@@ -148,9 +152,17 @@
 }
 
 void Admission::found(const Uid& uid, const Found& result) {
-  const auto node = reading_.extract(uid);
-  if (node.empty()) return;
-  for (const auto& then : node.mapped()) then(result);
+  const auto it = reading_.find(uid);
+  if (it == reading_.end()) return;
+  const auto answered = std::move(it->second.current);
+  if (it->second.next.empty()) {
+    reading_.erase(it);
+  } else {
+    it->second.current = std::move(it->second.next);
+    it->second.next.clear();
+    read(uid);
+  }
+  for (const auto& then : answered) then(result);
 }
 
 std::optional<std::string> Admission::impossible(const JobSpec& job) const {
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -43,6 +43,7 @@
   };
 
   void look_up(const Uid& uid, std::function<void(const Found&)> then);
+  void read(const Uid& uid);
   void look_up_final(const Uid& uid);
   void found(const Uid& uid, const Found& result);
   void create(std::shared_ptr<JobSpec> job, int tries, Answer answer);
@@ -58,7 +59,13 @@
   Store& store_;
   Mirror& mirror_;
   Wall last_cancel_;
-  std::unordered_map<Uid, std::vector<std::function<void(const Found&)>>> reading_;
+  /// Questions about one job: those that the read on its way answers, and those that came after it
+  /// was sent, which need another.
+  struct Reading {
+    std::vector<std::function<void(const Found&)>> current;
+    std::vector<std::function<void(const Found&)>> next;
+  };
+  std::unordered_map<Uid, Reading> reading_;
   std::unordered_map<Uid, FinalRecord> finals_;  // never change; bounded
   std::list<Uid> finals_order_;
 };
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -517,8 +517,10 @@
   txn.guard(keys::slice(key.first, key.second), stored->stamp);
   const bool whole = slice_count(job.spec) == 1 && slice.all_done();
   if (whole) {
-    FinalRecord final_record{key.first,    FinalState::done, job.spec.parts,
-                             job.accepted, clock_.wall(),    {}};
+    // A user who was told that the job is cancelled must not hear that it is done, though its tasks
+    // ended before they could be stopped.
+    const FinalState state = job.cancelled ? FinalState::cancelled : FinalState::done;
+    FinalRecord final_record{key.first, state, job.spec.parts, job.accepted, clock_.wall(), {}};
     if (const auto grant = records.grants.find(key.first); grant != records.grants.end()) {
       final_record.notes = grant->second.record.notes;
       txn.remove(keys::grant(key.first));
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -16,7 +16,7 @@
 Steady SystemClock::steady() const { return {read_clock(CLOCK_MONOTONIC)}; }
 Wall SystemClock::wall() const { return {read_clock(CLOCK_REALTIME)}; }
 
-Loop::Loop() : base_(event_base_new(), &event_base_free) {
+Loop::Loop(TimerQueue* timers) : base_(event_base_new(), &event_base_free), timers_(timers) {
   if (!base_) throw std::runtime_error("libevent gave no event base");
 }
 
@@ -24,20 +24,38 @@
 
 Timer::Timer(Loop& loop, std::function<void()> action)
     : action_(std::move(action)),
+      queue_(loop.timers()),
       event_(event_new(
                  loop.base(), -1, 0,
-                 [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->action_(); },
+                 [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); },
                  this),
              &event_free) {}
 
+Timer::~Timer() {
+  if (queue_ != nullptr) queue_->disarm(*this);
+}
+
 void Timer::start(Span after) {
   const std::int64_t ms = after.ms < 0 ? 0 : after.ms;
+  if (queue_ != nullptr) {
+    queue_->arm(*this, Span{ms});
+    return;
+  }
   timeval tv{static_cast<time_t>(ms / 1000), static_cast<suseconds_t>(ms % 1000 * 1000)};
   event_add(event_.get(), &tv);
 }
 
-void Timer::stop() { event_del(event_.get()); }
+void Timer::stop() {
+  if (queue_ != nullptr) {
+    queue_->disarm(*this);
+  } else {
+    event_del(event_.get());
+  }
+}
 
-bool Timer::pending() const { return event_pending(event_.get(), EV_TIMEOUT, nullptr) != 0; }
+bool Timer::pending() const {
+  return queue_ != nullptr ? queue_->armed(*this)
+                           : event_pending(event_.get(), EV_TIMEOUT, nullptr) != 0;
+}
 
 }  // namespace marblevale
