--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -614,7 +614,7 @@
     const auto r = reservations_.find(item.uid);
     if (r == reservations_.end() || item.not_before > wall) continue;
     if (r->second.start - wall < kWorthDisplacing) continue;
-    if (!item.guaranteed) continue;
+    if (!item.guaranteed && item.demand.job->urgency == Urgency::low) continue;
     const auto last = made_room_.find(item.uid);
     if (last != made_room_.end() && now - last->second < kRoomEvery) continue;
     if (++tried > 8) break;
