--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -168,7 +168,9 @@
 std::optional<std::string> Admission::impossible(const JobSpec& job) const {
   const Team* team = settings_.team(job.crew);
   if (team == nullptr) return "unknown team " + job.crew.get();
-  const Room wanted = job.gang() ? job.need * static_cast<double>(job.parts) : job.need;
+  // A service's tasks all hold room at once, like a gang's.
+  const Room wanted =
+      job.gang() || job.endless() ? job.need * static_cast<double>(job.parts) : job.need;
   if (!fits(wanted, team->limit())) return "needs more than the team's limit";
   const auto& types = mirror_.records().types->record;
   const bool fit = std::any_of(types.begin(), types.end(), [&](const MachineType& type) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -25,11 +25,11 @@
 Timer::Timer(Loop& loop, std::function<void()> action)
     : action_(std::move(action)),
       queue_(loop.timers()),
-      event_(event_new(
-                 loop.base(), -1, 0,
-                 [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); },
-                 this),
-             &event_free) {}
+      event_(
+          event_new(
+              loop.base(), -1, 0,
+              [](evutil_socket_t, short, void* self) { static_cast<Timer*>(self)->fire(); }, this),
+          &event_free) {}
 
 Timer::~Timer() {
   if (queue_ != nullptr) queue_->disarm(*this);
--- a/src/wire/job_spec.cpp
+++ b/src/wire/job_spec.cpp
@@ -12,6 +12,7 @@
 constexpr double kMaxAmount = 1e6;   // CPUs, accelerators and GB of one task
 constexpr double kMaxSeconds = 1e8;  // about three years
 constexpr std::size_t kMaxName = 128;
+constexpr Span kEndless{90'000'000'000};
 
 bool valid_name(const std::optional<std::string>& name) {
   return name && !name->empty() && name->size() <= kMaxName &&
@@ -42,7 +43,7 @@
   return true;
 }
 
-constexpr std::array<const char*, 2> kShapes{"batch", "ensemble"};
+constexpr std::array<const char*, 3> kShapes{"batch", "ensemble", "standing"};
 constexpr std::array<const char*, 4> kUrgencies{"low", "standard", "urgent", "production"};
 
 template <typename Enum, std::size_t N>
@@ -119,7 +120,9 @@
   if (!read_flag(object, "together", job.together)) return fault("together");
   if (!read_flag(object, "spread", job.spread)) return fault("spread");
   if (!read_flag(object, "loaners", job.loaners)) return fault("loaners");
-  if (!read_seconds(object, "expect_s", true, job.expect)) return fault("expect_s");
+  if (!read_seconds(object, "expect_s", !job.endless(), job.expect)) return fault("expect_s");
+  // A service holds its room without end.
+  if (job.endless()) job.expect = kEndless;
   if (!read_seconds(object, "snapshot_s", false, job.snapshot)) return fault("snapshot_s");
   if (!read_seconds(object, "stash_s", false, job.stash)) return fault("stash_s");
   if (json::field(object, "due_s") != nullptr) {
--- a/src/wire/job_spec.hpp
+++ b/src/wire/job_spec.hpp
@@ -13,7 +13,8 @@
 
 namespace marblevale {
 
-enum class Shape { batch, ensemble };
+/// A standing job is a service: its tasks run until it is cancelled.
+enum class Shape { batch, ensemble, standing };
 enum class Urgency { low, standard, urgent, production };
 
 const char* name_of(Shape shape);
@@ -40,6 +41,7 @@
   std::optional<Span> due;
 
   [[nodiscard]] bool gang() const { return shape == Shape::ensemble; }
+  [[nodiscard]] bool endless() const { return shape == Shape::standing; }
 };
 
 /// True for an id in the form that the protocol gives ("req-" and 1 to 32 digits, letters or
