--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -128,8 +128,6 @@
 }  // namespace
 
 Room Team::limit() const {
-  // Both at 0 means that the team has none of either; with one given, the other is not limited.
-  if (cpus_max <= 0 && gpus_max <= 0) return {0, 0, kUnlimited};
   return {cpus_max > 0 ? cpus_max : kUnlimited, gpus_max > 0 ? gpus_max : kUnlimited, kUnlimited};
 }
 
