--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -639,6 +639,7 @@
     HostId host;
     ZoneId zone;
     Room free;
+    double fetch = 0;  // seconds until the job's image is there
     std::vector<Victim> victims;
   };
   Room team_used{};
@@ -647,7 +648,10 @@
     const MachineRecord& m = stored.record;
     const MachineType* type = records.type(m.build);
     if (type == nullptr) continue;
-    Place place{host, m.zone, type->room, {}};
+    Place place{host, m.zone, type->room, 0, {}};
+    if (type->pull_gb_per_s > 0 && !images_.of(host).contains(spec.bundle)) {
+      place.fetch = spec.image_gb / type->pull_gb_per_s;
+    }
     if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
       for (const auto& [id, attempt] : placed->second) {
         const JobRecord* other = records.job(id.uid);
@@ -709,7 +713,7 @@
       for (std::size_t p = 0; p < open.size(); ++p) {
         if (zone && open[p].zone != *zone) continue;
         Room free = open[p].free;
-        double cost = 0;
+        double cost = open[p].fetch * 2;  // room that can be used later is worth less
         std::vector<std::size_t> victims;
         std::vector<std::size_t> order(open[p].victims.size());
         for (std::size_t v = 0; v < order.size(); ++v) order[v] = v;
