--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -401,7 +401,15 @@
   if (cause == "error" && task.faults == 0) {
     // Mostly the machine is faulty, yet a job with a mistake fails everywhere: the machine takes
     // nothing new until the task's next try elsewhere has told whose fault it was.
-    put_machine(task.host, MachineState::suspect, "a task failed on it", id.uid);
+    const auto machine = mirror_.records().machines.find(task.host);
+    const bool again = machine != mirror_.records().machines.end() &&
+                       machine->second.record.state == MachineState::suspect &&
+                       machine->second.record.blamed != id.uid;
+    if (again) {
+      put_machine(task.host, MachineState::quarantined, "tasks of two jobs failed on it");
+    } else {
+      put_machine(task.host, MachineState::suspect, "a task failed on it", id.uid);
+    }
   }
   spdlog::debug("holder: {} try {} on {} ended: {}{}", id.str(), task.attempt.get(),
                 task.host.get(), cause, saved ? ", saved" : "");
--- a/src/blocks/proof.cpp
+++ b/src/blocks/proof.cpp
@@ -59,7 +59,10 @@
       task.progress = std::max(task.progress, Span{whole * job.snapshot.ms});
       task.progress = std::min(task.progress, job.expect);
     }
-    if (cause == "error" || cause == "unknown") ++task.faults;
+    if (cause == "error" || cause == "unknown") {
+      ++task.faults;
+      task.failed_on = task.host;
+    }
   }
   task.zone = ZoneId{};
   task.host = HostId{};
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -273,12 +273,13 @@
   if (marking_.contains(machine.host)) return;
   const auto& records = mirror_.records();
   const Wall now = clock_.wall();
-  std::uint32_t faults = 0;
+  bool failed_elsewhere = false;
   bool ran_elsewhere = false;
   for (auto it = records.slices.lower_bound({machine.blamed, 0});
        it != records.slices.end() && it->first.first == machine.blamed; ++it) {
     for (const TaskRecord& task : it->second.record.tasks) {
-      faults += task.faults;
+      // Failing again on this machine, or beside it, says nothing for the machine.
+      failed_elsewhere = failed_elsewhere || (task.faults > 0 && task.failed_on != machine.host);
       const bool lasted = task.running > machine.since && now - task.running > kProvenRun;
       ran_elsewhere = ran_elsewhere || (task.faults > 0 && task.host != machine.host && lasted) ||
                       (task.faults > 0 && task.state == TaskState::done);
@@ -287,7 +288,7 @@
   MachineRecord verdict = machine;
   if (ran_elsewhere) {
     verdict.state = MachineState::quarantined;
-  } else if (faults >= 2 || now - machine.since > kSuspicion) {
+  } else if (failed_elsewhere || now - machine.since > kSuspicion) {
     verdict.state = MachineState::up;
   } else {
     return;
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -62,6 +62,7 @@
   if (task.since.ms != 0) out.put("t", task.since.ms);
   if (task.progress.ms != 0) out.put("p", task.progress.ms);
   if (task.faults != 0) out.put("f", static_cast<std::uint64_t>(task.faults));
+  if (task.failed_on != HostId{}) out.put("x", task.failed_on.get());
   if (task.stop) out.put("k", task.stop->leeway.ms).put("w", task.stop->reason);
   out.close();
 }
@@ -79,6 +80,7 @@
   read(v, "t", task.since);
   read_span(v, "p", task.progress);
   task.faults = static_cast<std::uint32_t>(json::count(v, "f").value_or(0));
+  read(v, "x", task.failed_on);
   Span leeway;
   if (read_span(v, "k", leeway)) task.stop = StopOrder{leeway, json::text(v, "w").value_or("")};
   return true;
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -99,6 +99,7 @@
   Wall running;              // when it was first seen running; 0: not yet
   Span progress;             // saved
   std::uint32_t faults = 0;  // ends by error
+  HostId failed_on;          // machine of the last end by error
   std::optional<StopOrder> stop;
 
   [[nodiscard]] bool placed() const {
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -245,6 +245,53 @@
   EXPECT_EQ(mirror_.records().machines.at(HostId("vm-1")).record.state, MachineState::gone);
 }
 
+// Found by a rough day: the task failed twice on the same sick machine, which was then absolved.
+TEST_F(LeaderTest, AMachineIsAbsolvedOnlyByAFailureElsewhere) {
+  MachineRecord m;
+  m.host = HostId("vm-1");
+  m.build = "g8";
+  m.zone = ZoneId("a");
+  m.state = MachineState::suspect;
+  m.blamed = Uid("req-1");
+  m.since = time_.wall();
+  store_.put(keys::machine(m.host), encode(m));
+  submit(testing::gang("req-1", 1, 1, 60));
+  TaskRecord failed;
+  failed.attempt = Attempt(2);
+  failed.faults = 2;
+  failed.failed_on = HostId("vm-1");
+  set_task("req-1", failed);
+  begin();
+  run(Span{5000});
+  EXPECT_EQ(mirror_.records().machines.at(m.host).record.state, MachineState::suspect);
+  failed.failed_on = HostId("vm-2");
+  set_task("req-1", failed);
+  run(Span{2000});
+  EXPECT_EQ(mirror_.records().machines.at(m.host).record.state, MachineState::up);
+}
+
+TEST_F(LeaderTest, AMachineIsCondemnedWhenItsTaskRunsElsewhere) {
+  MachineRecord m;
+  m.host = HostId("vm-1");
+  m.build = "g8";
+  m.zone = ZoneId("a");
+  m.state = MachineState::suspect;
+  m.blamed = Uid("req-1");
+  m.since = time_.wall();
+  store_.put(keys::machine(m.host), encode(m));
+  machine("vm-2");
+  submit(testing::gang("req-1", 1, 1, 60));
+  TaskRecord task = bound("vm-2");
+  task.faults = 1;
+  task.failed_on = HostId("vm-1");
+  task.running = time_.wall() + Span{500};
+  set_task("req-1", task);
+  begin();
+  run(Span{10'000});
+  ASSERT_EQ(cloud_.removed.size(), 1U);
+  EXPECT_EQ(cloud_.removed[0], HostId("vm-1"));
+}
+
 TEST_F(LeaderTest, RentsUnderNamesThatAreNeverUsedTwice) {
   begin();
   submit(testing::gang("req-1", 1, 1, 60));
