--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -184,12 +184,14 @@
   Planner planner(
       std::move(profile), std::move(queue), reservations_, clock_.wall(),
       [this, begin] { return clock_.steady() - begin > settings_.tuning.round_budget; });
-  for (const Moved& moved : planner.restore()) {
-    note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
-                        " s later: tasks before it overran, or a machine was lost");
+  Pins pins;
+  for (const auto& [uid, made] : made_room_) {
+    if (begin - made.at < kRoomEvery) pins.emplace(uid, made.hosts);
   }
-  for (const auto& [uid, since] : made_room_) {
-    if (begin - since < kRoomEvery) planner.advance(uid);
+  for (const Moved& moved : planner.restore(pins)) {
+    note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
+                        " s later: tasks before it overran, a machine was lost, or "
+                        "room was made there for a job that goes first");
   }
   const bool admitted = planner.admit_arrivals();
   // What was started is taken out of the queue by the next round, which sees it as placed.
@@ -616,17 +618,19 @@
     if (r->second.start - wall < kWorthDisplacing) continue;
     if (!item.guaranteed && item.demand.job->urgency == Urgency::low) continue;
     const auto last = made_room_.find(item.uid);
-    if (last != made_room_.end() && now - last->second < kRoomEvery) continue;
+    if (last != made_room_.end() && now - last->second.at < kRoomEvery) continue;
     if (++tried > 8) break;
-    if (make_room(item, guaranteed)) {
-      made_room_[item.uid] = now;
+    const auto hosts = make_room(item, guaranteed);
+    if (!hosts.empty()) {
+      made_room_[item.uid] = {now, hosts};
       return;  // the next round sees what it freed
     }
   }
-  std::erase_if(made_room_, [&](const auto& entry) { return now - entry.second > Span{60'000}; });
+  std::erase_if(made_room_,
+                [&](const auto& entry) { return now - entry.second.at > Span{60'000}; });
 }
 
-bool Granting::make_room(const QueueItem& item, const std::set<Uid>& guaranteed) {
+std::vector<HostId> Granting::make_room(const QueueItem& item, const std::set<Uid>& guaranteed) {
   const auto& records = mirror_.records();
   const JobSpec& spec = *item.demand.job;
   const Team* team = settings_.team(spec.crew);
@@ -689,7 +693,7 @@
   const Room all = spec.need * static_cast<double>(item.demand.tasks);
   const std::uint32_t tasks = spec.gang() ? item.demand.tasks : 1;
   if (team != nullptr && !fits(team_used + (spec.gang() ? all : spec.need), team->limit())) {
-    return false;
+    return {};
   }
 
   // For each zone (or for all at once), the places that cost least until every task has one.
@@ -700,9 +704,11 @@
     zones.emplace_back(std::nullopt);
   }
   std::vector<TaskId> best;
+  std::vector<HostId> best_hosts;
   double best_loss = 0;
   for (const auto& zone : zones) {
     std::vector<TaskId> chosen;
+    std::vector<HostId> hosts;
     double loss = 0;
     std::uint32_t found = 0;
     std::vector<Place> open = places;
@@ -742,25 +748,27 @@
         place.victims.erase(place.victims.begin() + static_cast<std::ptrdiff_t>(v));
       }
       place.free -= spec.need;
+      hosts.push_back(place.host);
       loss += least_cost;
       ++found;
     }
     if (found < tasks || chosen.empty()) {
-      if (found == tasks) return false;  // room is being vacated already
+      if (found == tasks) return {};  // room is being vacated already
       continue;
     }
     if (best.empty() || loss < best_loss) {
       best = std::move(chosen);
+      best_hosts = std::move(hosts);
       best_loss = loss;
     }
   }
-  if (best.empty()) return false;
+  if (best.empty()) return {};
   std::map<SliceKey, std::set<std::size_t>> by_slice;
   for (const TaskId& id : best) {
     by_slice[{id.uid, id.part / kSliceTasks}].insert(id.part % kSliceTasks);
   }
   for (const auto& [key, indices] : by_slice) {
-    if (pending_.contains(key)) return false;
+    if (pending_.contains(key)) return {};
   }
   const std::string reason = "displaced for " + spec.uid.get() +
                              (item.guaranteed ? " (within its team's guarantee)"
@@ -775,7 +783,7 @@
     note(key.first, reason);
   }
   spdlog::info("granting: {} tasks displaced for {}", best.size(), spec.uid.get());
-  return true;
+  return best_hosts;
 }
 
 void Granting::summarize(const Planner& planner) {
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -60,7 +60,8 @@
   void release(const Start& start, const Planner& planner);
   void commit_slices(Txn txn, std::vector<SliceRecord> slices);
   void displace(const Planner& planner);
-  bool make_room(const QueueItem& item, const std::set<Uid>& guaranteed);
+  /// Stops tasks so that the job can start; the machines on which that made room.
+  std::vector<HostId> make_room(const QueueItem& item, const std::set<Uid>& guaranteed);
   void summarize(const Planner& planner);
   void want_machines(const Planner& planner);
   void persist();
@@ -79,7 +80,11 @@
   std::vector<std::pair<Txn, std::vector<SliceRecord>>> unknown_;  // commits without an answer
   std::set<Uid> ending_;
   std::unordered_map<Uid, std::vector<Note>> notes_;  // not yet in the state service
-  std::unordered_map<Uid, Steady> made_room_;
+  struct MadeRoom {
+    Steady at;
+    std::vector<HostId> hosts;
+  };
+  std::unordered_map<Uid, MadeRoom> made_room_;
   bool persisting_ = false;
   ImageGuess images_;
   Steady round_over_{};
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -1,6 +1,7 @@
 #include "planner/planner.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace marblevale {
 
@@ -83,11 +84,22 @@
   if (!plan.spots.empty()) profile_.take(plan, *item.demand.job, item.owner);
 }
 
-std::vector<Moved> Planner::restore() {
+std::vector<Moved> Planner::restore(const Pins& pins) {
   std::vector<Moved> moved;
+  std::unordered_set<Uid> pinned;
+  for (const QueueItem& item : queue_) {
+    const auto pin = pins.find(item.uid);
+    if (pin == pins.end() || !reservations_.contains(item.uid)) continue;
+    Demand there = item.demand;
+    there.only = pin->second;
+    const auto plan = profile_.earliest(there, now_);
+    if (!plan || plan->start() > reservations_.at(item.uid).start) continue;
+    set(item, *plan);
+    pinned.insert(item.uid);
+  }
   std::vector<const QueueItem*> order;
   for (const QueueItem& item : queue_) {
-    if (reservations_.contains(item.uid)) order.push_back(&item);
+    if (reservations_.contains(item.uid) && !pinned.contains(item.uid)) order.push_back(&item);
   }
   // In the order of their granted starts, so that a conflict falls on the later one.
   std::sort(order.begin(), order.end(), [this](const QueueItem* a, const QueueItem* b) {
@@ -187,21 +199,6 @@
   return true;
 }
 
-void Planner::advance(const Uid& uid) {
-  for (const QueueItem& item : queue_) {
-    const auto it = reservations_.find(uid);
-    if (item.uid != uid || it == reservations_.end()) continue;
-    profile_.release(item.owner);
-    const auto plan = profile_.earliest(item.demand, now_);
-    if (plan && plan->start() < it->second.start) {
-      set(item, *plan);
-    } else {
-      put_back(item);
-    }
-    return;
-  }
-}
-
 std::vector<Start> Planner::compress(std::size_t& cursor) {
   std::vector<Start> starts;
   std::vector<bool> gone(queue_.size(), false);
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -45,6 +45,10 @@
 
 using Reservations = std::unordered_map<Uid, Reservation>;
 
+/// Machines on which room was made for a job by stopping others: its reservation is on just these,
+/// or what was stopped for it would be taken piece by piece by smaller jobs.
+using Pins = std::unordered_map<Uid, std::vector<HostId>>;
+
 struct Start {
   Uid uid;
   Plan plan;                         // spots for the first plan.spots.size() of the item's parts
@@ -63,17 +67,14 @@
   Planner(Profile profile, std::vector<QueueItem> queue, Reservations& reservations, Wall now,
           std::function<bool()> spent);
 
-  /// Puts the reservations into the profile. One that no longer holds (a task overran, a machine
-  /// was lost) is placed again, and reported if that makes it later.
-  std::vector<Moved> restore();
+  /// Puts the reservations into the profile, those for which room was made first. One that no
+  /// longer holds (a task overran, a machine was lost) is placed again, and reported if that makes
+  /// it later.
+  std::vector<Moved> restore(const Pins& pins = {});
 
   /// The arrival step for jobs without a reservation (the paper's 2.2). False: budget used up.
   bool admit_arrivals();
 
-  /// Room was made for this job by stopping others: its reservation moves to that room at once, so
-  /// that nobody else takes it piece by piece.
-  void advance(const Uid& uid);
-
   /// Starts what can run now, by priority, going back to the queue's front after each move (2.1,
   /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
   std::vector<Start> compress(std::size_t& cursor);
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -186,6 +186,10 @@
   for (std::size_t i = 0; i < machines_->size(); ++i) {
     const PlanMachine& m = (*machines_)[i];
     if (m.ready > at || !allowed(job, m) || (zone && m.zone != *zone)) continue;
+    if (!demand.only.empty() &&
+        std::find(demand.only.begin(), demand.only.end(), m.host) == demand.only.end()) {
+      continue;
+    }
     const Span fetch = fetch_time(job, m);
     const Span run = demand.run + fetch;
     const Room free = lanes_[i].free(at, at + run);
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -62,6 +62,7 @@
   const JobSpec* job = nullptr;
   std::uint32_t tasks = 1;
   Span run;                    // estimated run time of each
+  std::vector<HostId> only;    // if given: no other machines
   std::optional<ZoneId> zone;  // where the job's other tasks are, if `together`
   std::vector<std::pair<ZoneId, std::uint32_t>> elsewhere;  // placed tasks per zone, for `spread`
 };
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -142,6 +142,26 @@
   EXPECT_GT(r.at(wide.uid).start, at(0));
 }
 
+// Found by a quiet day: tasks were displaced for a job, and the room went to another whose place
+// was predicted elsewhere.
+TEST(Displacement, RoomThatWasMadeIsKeptForItsJob) {
+  const JobSpec wide = gang("req-wide", 1, 2, 60);
+  JobSpec other = gang("req-other", 1, 1, 60);
+  other.urgency = Urgency::urgent;
+  Profile p = one_machine(2);
+  p.add_machine(machine("n", 2));
+  p.take(0, TeamId("x"),
+         {at(0), at(6), {0, 1, 0}, Owner{98}});  // being stopped; its place is half free
+  p.take(1, TeamId("x"), {at(0), at(3), {0, 2, 0}, Owner{99}});  // predicted to end sooner
+  Reservations r{{wide.uid, reserved(40, 100)}, {other.uid, reserved(30, 90)}};
+  Planner planner(std::move(p), {item(wide, 1), item(other, 2)}, r, at(0), never);
+  planner.restore({{wide.uid, {HostId("m")}}});
+  EXPECT_EQ(r.at(wide.uid).places.at(0).host, HostId("m"));
+  EXPECT_EQ(r.at(wide.uid).start, at(6));
+  std::size_t cursor = 0;
+  EXPECT_TRUE(planner.compress(cursor).empty());
+}
+
 TEST(Rounds, ABudgetStopsTheRoundAndTheNextGoesOn) {
   std::vector<JobSpec> jobs;
   for (int i = 0; i < 4; ++i) jobs.push_back(gang("req-" + std::to_string(i), 1, 1, 10 + i));
