--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -39,6 +39,12 @@
   }
 }
 
+/// Time to save, unless saving takes longer than the work that is lost on average by not saving.
+Span displacement_leeway(const JobSpec& job) {
+  const Span saving = job.stash + Span{2'000};
+  return job.snapshot > Span{0} && job.snapshot * 0.5 <= saving ? Span{0} : saving;
+}
+
 Owner owner_of(const Uid& uid) { return Owner(std::hash<Uid>{}(uid) & ~(3ULL << 62)); }
 
 }  // namespace
@@ -774,7 +780,7 @@
                              (item.guaranteed ? " (within its team's guarantee)"
                                               : " (" + std::string(name_of(spec.urgency)) + ")");
   for (const auto& [key, indices] : by_slice) {
-    const Span leeway = records.job(key.first)->spec.stash + Span{2'000};
+    const Span leeway = displacement_leeway(records.job(key.first)->spec);
     stop_tasks(key, [&](std::size_t i, TaskRecord& task) {
       if (!indices.contains(i)) return false;
       task.stop = StopOrder{leeway, reason};
