--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -833,6 +833,13 @@
       for (const Spot& spot : plan->spots) late += spot.start - now > kSoon ? 1 : 0;
       if (item->demand.job->gang() && late > 0) late = item->demand.tasks;
     }
+    // Where estimates are too low, room is always about to come free. A job that has waited for a
+    // while is believed to wait as long again.
+    const Span waited = now - item->accepted;
+    if (waited > std::max(wait, kSoon)) {
+      wait = waited;
+      late = item->demand.tasks;
+    }
     if (late == 0) continue;
     wanting.push_back({item->demand.job, late, item->demand.run, wait, item->demand.zone});
   }
