--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -22,6 +22,7 @@
 constexpr double kEstimateMargin = 1.15;  // estimates are often too low
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};           // a start this near needs no new machine
+constexpr Span kOverdueBoot{5'500};     // a machine expected within this is late, or about to come
 constexpr Span kUnplacedWait{600'000};  // of a job that no machine can take
 
 Span retry_pause(std::uint32_t faults) {
@@ -822,6 +823,10 @@
       if (place.start - now < settings_.tuning.idle_return) in_use.insert(place.host);
     }
   }
+  const auto& machines = planner.profile().machines();
+  const bool coming = std::any_of(machines.begin(), machines.end(), [&](const PlanMachine& m) {
+    return m.ready > now + kOverdueBoot;
+  });
   // Reservations lag behind what has become possible since (holes are kept on purpose), so what is
   // missing is read from the plan that the queue would get if it were laid out anew.
   for (const auto& [item, plan] : planner.outlook(kMostWanting)) {
@@ -834,9 +839,9 @@
       if (item->demand.job->gang() && late > 0) late = item->demand.tasks;
     }
     // Where estimates are too low, room is always about to come free. A job that has waited for a
-    // while is believed to wait as long again.
+    // while is believed to wait as long again, unless machines are on their way already.
     const Span waited = now - item->accepted;
-    if (waited > std::max(wait, kSoon)) {
+    if (!coming && waited > std::max(wait, kSoon)) {
       wait = waited;
       late = item->demand.tasks;
     }
