--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -296,7 +296,6 @@
       it->second.record.state >= MachineState::deleting || !taking_.insert(key).second) {
     return;
   }
-  spdlog::info("holder: {} is {}: {}", host.get(), name_of(state), why);
   MachineRecord record = it->second.record;
   record.state = state;
   record.since = clock_.wall();
@@ -307,7 +306,13 @@
   txn.guard(keys::block(record.zone), Stamp(warrant_of(record.zone).get()));
   txn.guard(key, it->second.stamp).put(key, encode(record));
   mirror_.commit(Rank::binding, std::move(txn),
-                 [this, key](const CommitResult&) { taking_.erase(key); });
+                 [this, key, host, state, why](const CommitResult& r) {
+                   taking_.erase(key);
+                   // Told once it is so: a holder that is cut off tries this at every sweep.
+                   if (r.fate == Fate::done) {
+                     spdlog::info("holder: {} is {}: {}", host.get(), name_of(state), why);
+                   }
+                 });
 }
 
 void Holder::round() {
