--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -813,6 +813,22 @@
       waiting);
 }
 
+namespace {
+
+/// True when a machine could take one of the job's tasks now: then the job waits for its team's
+/// limit, or for its turn, and no machine would help.
+bool has_room(const Profile& profile, const QueueItem& item, Wall now) {
+  const JobSpec& job = *item.demand.job;
+  for (std::size_t i = 0; i < profile.machines().size(); ++i) {
+    const PlanMachine& m = profile.machines()[i];
+    if (m.ready > now || !Profile::allowed(job, m)) continue;
+    if (fits(job.need, profile.lane(i).free(now, now + item.demand.run))) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
 void Granting::want_machines(const Planner& planner) {
   last_want_ = clock_.steady();
   const Wall now = clock_.wall();
@@ -830,6 +846,10 @@
   // Reservations lag behind what has become possible since (holes are kept on purpose), so what is
   // missing is read from the plan that the queue would get if it were laid out anew.
   for (const auto& [item, plan] : planner.outlook(kMostWanting)) {
+    const JobSpec& job = *item->demand.job;
+    const Lane* limit = planner.profile().team(job.crew);
+    const double least = job.gang() ? item->demand.tasks : 1;
+    if (limit != nullptr && !fits(job.need * least, limit->free(now, now + Span{1}))) continue;
     std::uint32_t late = item->demand.tasks;
     Span wait = kUnplacedWait;
     if (plan) {
@@ -841,7 +861,7 @@
     // Where estimates are too low, room is always about to come free. A job that has waited for a
     // while is believed to wait as long again, unless machines are on their way already.
     const Span waited = now - item->accepted;
-    if (!coming && waited > std::max(wait, kSoon)) {
+    if (!coming && waited > std::max(wait, kSoon) && !has_room(planner.profile(), *item, now)) {
       wait = waited;
       late = item->demand.tasks;
     }
