--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -16,6 +16,7 @@
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
 constexpr Span kLeastRun{5'000};
+constexpr Span kRefusedPause{400};
 constexpr double kImpatientLoss = 60;  // of a victim without a deadline: its start was the point
 constexpr Span kFreshStart{30'000};
 constexpr double kFreshLoss = 15;         // of a victim that has hardly begun
@@ -171,8 +172,10 @@
   }
   const Steady begin = clock_.steady();
   if (state_ != State::leading || term_ != election_.term()) take_over();
-  std::erase_if(pending_, [this](const auto& entry) {
-    return entry.second.until && mirror_.revision().get() >= entry.second.until->get();
+  std::erase_if(pending_, [this, begin](const auto& entry) {
+    const Pending& p = entry.second;
+    return (p.until && mirror_.revision().get() >= p.until->get()) ||
+           (p.retry && begin >= *p.retry);
   });
   if (!mirror_.records().types) return;  // nothing is known of what machines there are
 
@@ -535,7 +538,7 @@
 
 void Granting::commit_slices(Txn txn, std::vector<SliceRecord> slices) {
   for (const SliceRecord& slice : slices) {
-    pending_[{slice.uid, slice.number}] = {slice, std::nullopt};
+    pending_[{slice.uid, slice.number}] = {slice, std::nullopt, std::nullopt};
   }
   auto kept = std::make_shared<Txn>(txn);
   const Stamp term = term_;
@@ -550,9 +553,13 @@
                    }
                    for (const SliceRecord& slice : slices) {
                      auto& pending = pending_[{slice.uid, slice.number}];
-                     // Refused: not executed. Otherwise the mirror must catch up first.
-                     pending.until =
-                         r.fate == Fate::done || r.fate == Fate::conflict ? r.revision : Revision{};
+                     if (r.fate == Fate::done || r.fate == Fate::conflict) {
+                       pending.until = r.revision;  // the mirror must catch up first
+                     } else {
+                       // Not executed. Not tried again at once: the state service may be refusing
+                       // this node for a while.
+                       pending.retry = clock_.steady() + kRefusedPause;
+                     }
                    }
                    wake();
                  });
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -37,7 +37,8 @@
   enum class State { idle, leading };
   struct Pending {
     SliceRecord slice;
-    std::optional<Revision> until;  // kept until the mirror has this; none: no answer yet
+    std::optional<Revision> until;  // kept until the mirror has this
+    std::optional<Steady> retry;    // it was refused: kept until then
   };
 
   void transition(State next);
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -195,6 +195,20 @@
   EXPECT_TRUE(tasks("req-2").empty());
 }
 
+// Found by an incident: a leader that the state service refused released the same task every 20 ms.
+TEST_F(LeaderTest, ARefusedReleaseIsNotTriedAgainAtOnce) {
+  machine("vm-1");
+  begin();
+  submit(testing::gang("req-1", 1, 1, 60));
+  store_.scripts.assign(100, Script::refuse);
+  const auto before = store_.commits.size();
+  run(Span{1000});
+  EXPECT_LE(store_.commits.size() - before, 10U);
+  store_.scripts.clear();
+  run(Span{1000});
+  EXPECT_EQ(tasks("req-1").at(0).state, TaskState::released);
+}
+
 TEST_F(LeaderTest, AGangRestartsOnlyAfterProofOfAllItsTasks) {
   settings_.teams[0].gpus_max = 8;
   machine("vm-1");
