--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -315,6 +315,28 @@
                  });
 }
 
+void Holder::keep_images(const HostId& host, Worker& worker) {
+  const auto it = mirror_.records().machines.find(host);
+  const std::string key = keys::machine(host);
+  if (it == mirror_.records().machines.end() || holding(worker.zone) != Holding::held ||
+      it->second.record.state >= MachineState::deleting || !taking_.insert(key).second) {
+    return;
+  }
+  MachineRecord record = it->second.record;
+  record.images = worker.images;
+  worker.images_changed = false;
+  Txn txn;
+  txn.guard(keys::block(record.zone), Stamp(warrant_of(record.zone).get()));
+  txn.guard(key, it->second.stamp).put(key, encode(record));
+  mirror_.commit(Rank::submission, std::move(txn), [this, key, host](const CommitResult& r) {
+    taking_.erase(key);
+    const auto worker_entry = workers_.find(host);
+    if (r.fate != Fate::done && worker_entry != workers_.end()) {
+      worker_entry->second.images_changed = true;
+    }
+  });
+}
+
 void Holder::round() {
   if (!mirror_.ready()) return;
   take_blocks();
@@ -447,6 +469,16 @@
     case Finding::present:
       if (task.running.ms == 0 && reported(view, id, task.attempt)->status == TaskStatus::running) {
         task.running = clock_.wall();
+        const MachineType* type = machine == records.machines.end()
+                                      ? nullptr
+                                      : records.type(machine->second.record.build);
+        if (type != nullptr) {
+          Worker& there = worker->second;
+          if (there.images.empty()) there.images = machine->second.record.images;
+          there.images_changed =
+              note_image(there.images, job.bundle, job.image_gb, type->cache_gb) ||
+              there.images_changed;
+        }
         spdlog::debug("holder: {} try {} runs on {}", id.str(), task.attempt.get(),
                       task.host.get());
       }
@@ -695,8 +727,9 @@
                           : machine->second.record.state == MachineState::gone;
     return gone && !entry.second.direct_busy;
   });
-  for (const auto& [host, worker] : workers_) {
+  for (auto& [host, worker] : workers_) {
     if (worker.introduced == Warrant{}) wake_.insert(host);
+    if (worker.images_changed) keep_images(host, worker);
   }
   for (const auto& [host, placed] : records.placed) {
     for (const auto& [id, attempt] : placed) {
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -69,6 +69,8 @@
     std::vector<Order> direct_queue;
     std::map<std::pair<TaskId, Attempt>, Steady> kills;  // last sent
     std::optional<Wall> recall;
+    std::vector<std::pair<ImageId, double>> images;  // seen in use, as in the machine's record
+    bool images_changed = false;
     Warrant introduced;  // the warrant under which it is known to have heard of us
     Steady last_introduction{-1'000'000};
   };
@@ -95,6 +97,7 @@
   bool absorb(Worker& worker, const Report& report);
   void note_machine(const Report& report, Worker& worker);
   void put_machine(const HostId& host, MachineState state, const char* why, Uid blamed = {});
+  void keep_images(const HostId& host, Worker& worker);
   [[nodiscard]] Span answer_limit() const;
 
   const Clock& clock_;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -52,17 +52,7 @@
 }  // namespace
 
 void ImageGuess::used(const HostId& host, const ImageId& image, double gb, double cache_gb) {
-  auto& list = images_[host];
-  std::erase_if(list, [&](const auto& entry) { return entry.first == image; });
-  list.emplace_back(image, gb);
-  double sum = 0;
-  for (auto it = list.rbegin(); it != list.rend(); ++it) {
-    sum += it->second;
-    if (sum > cache_gb) {
-      list.erase(list.begin(), it.base());
-      break;
-    }
-  }
+  note_image(images_[host], image, gb, cache_gb);
 }
 
 std::set<ImageId> ImageGuess::of(const HostId& host) const {
@@ -343,6 +333,16 @@
   }
 }
 
+std::set<ImageId> Granting::images_at(const HostId& host) const {
+  // The record has what ran there; the guess adds what is being fetched.
+  std::set<ImageId> out = images_.of(host);
+  const auto& machines = mirror_.records().machines;
+  if (const auto it = machines.find(host); it != machines.end()) {
+    for (const auto& [image, gb] : it->second.record.images) out.insert(image);
+  }
+  return out;
+}
+
 Profile Granting::build_profile() const {
   Profile profile;
   const auto& records = mirror_.records();
@@ -360,7 +360,7 @@
     m.price = type->price_of(spot);
     m.pull_gb_per_s = type->pull_gb_per_s;
     m.room = type->room;
-    m.images = images_.of(host);
+    m.images = images_at(host);
     profile.add_machine(std::move(m));
   };
   for (const auto& [host, stored] : records.machines) {
@@ -667,7 +667,7 @@
     const MachineType* type = records.type(m.build);
     if (type == nullptr) continue;
     Place place{host, m.zone, type->room, 0, {}};
-    if (type->pull_gb_per_s > 0 && !images_.of(host).contains(spec.bundle)) {
+    if (type->pull_gb_per_s > 0 && !images_at(host).contains(spec.bundle)) {
       place.fetch = spec.image_gb / type->pull_gb_per_s;
     }
     if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -15,7 +15,7 @@
 
 namespace marblevale {
 
-/// Images that machines probably have: those of tasks that ran there, the latest within the cache.
+/// Images that machines are probably fetching: those of tasks that are bound there.
 class ImageGuess {
  public:
   void used(const HostId& host, const ImageId& image, double gb, double cache_gb);
@@ -51,7 +51,8 @@
   void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
-  Profile build_profile() const;
+  [[nodiscard]] std::set<ImageId> images_at(const HostId& host) const;
+  [[nodiscard]] Profile build_profile() const;
   void occupy(Profile& profile) const;
   [[nodiscard]] Wall likely_end(const TaskRecord& task, const JobSpec& job) const;
   std::vector<QueueItem> build_queue() const;
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint64_t kFormat = 1;
 constexpr std::size_t kMaxNotes = 16;
+constexpr std::size_t kMaxImages = 24;
 
 bool known_format(const json::Value& v) { return json::count(v, "v") == kFormat; }
 
@@ -118,6 +119,24 @@
                      [](const TaskRecord& t) { return t.state == TaskState::done; });
 }
 
+bool note_image(std::vector<std::pair<ImageId, double>>& images, const ImageId& image, double gb,
+                double cache_gb) {
+  const auto known = std::find_if(images.begin(), images.end(),
+                                  [&](const auto& entry) { return entry.first == image; });
+  if (known != images.end()) {
+    std::rotate(known, known + 1, images.end());
+    return false;
+  }
+  images.emplace_back(image, gb);
+  double sum = 0;
+  for (const auto& entry : images) sum += entry.second;
+  while (images.size() > 1 && (sum > cache_gb || images.size() > kMaxImages)) {
+    sum -= images.front().second;
+    images.erase(images.begin());
+  }
+  return true;
+}
+
 std::uint32_t slice_count(const JobSpec& job) {
   return (job.parts + kSliceTasks - 1) / kSliceTasks;
 }
@@ -269,6 +288,13 @@
       .put("since", r.since.ms);
   if (r.recall) out.put("recall", r.recall->ms);
   if (r.blamed != Uid{}) out.put("blamed", r.blamed.get());
+  if (!r.images.empty()) {
+    out.key("images").open_list();
+    for (const auto& [image, gb] : r.images) {
+      out.open().put("n", image.get()).put("gb", gb).close();
+    }
+    out.close_list();
+  }
   out.close();
   return out.str();
 }
@@ -286,6 +312,14 @@
   out.build = json::text(v, "build").value_or("");
   out.spot = json::flag(v, "spot").value_or(false);
   read(v, "blamed", out.blamed);
+  if (const json::Value* images = json::list(v, "images")) {
+    for (const auto& item : images->GetArray()) {
+      ImageId image;
+      if (read(item, "n", image)) {
+        out.images.emplace_back(image, json::number(item, "gb").value_or(0));
+      }
+    }
+  }
   Wall recall;
   if (read(v, "recall", recall)) out.recall = recall;
   return true;
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -143,9 +143,17 @@
   MachineState state = MachineState::up;
   Wall since;
   std::optional<Wall> recall;
+  /// Images that tasks have run with there, the latest last, as far as its cache holds them. Kept
+  /// here because a guess in memory is lost when all controllers end at once.
+  std::vector<std::pair<ImageId, double>> images;
   Uid blamed;  // of a suspect: the job whose task failed
 };
 
+/// Notes that the image was used: the latest last, the oldest dropped beyond `cache_gb`. False when
+/// it was in the list.
+bool note_image(std::vector<std::pair<ImageId, double>>& images, const ImageId& image, double gb,
+                double cache_gb);
+
 struct HireRecord {
   std::string name;
   std::string build;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -146,6 +146,20 @@
   EXPECT_EQ(again(machine).state, machine.state);
 }
 
+TEST(Images, TheLatestWithinTheCacheAreKept) {
+  MachineRecord machine;
+  machine.host = HostId("vm-1");
+  machine.zone = ZoneId("a");
+  EXPECT_TRUE(note_image(machine.images, ImageId("a"), 6, 15));
+  EXPECT_TRUE(note_image(machine.images, ImageId("b"), 6, 15));
+  EXPECT_FALSE(note_image(machine.images, ImageId("a"), 6, 15));  // used again: now the latest
+  EXPECT_TRUE(note_image(machine.images, ImageId("c"), 6, 15));   // b gives way
+  const MachineRecord back = again(machine);
+  ASSERT_EQ(back.images.size(), 2U);
+  EXPECT_EQ(back.images[0].first, ImageId("a"));
+  EXPECT_EQ(back.images[1].first, ImageId("c"));
+}
+
 TEST(Records, AnotherFormatIsNotGuessedAt) {
   json::Document doc;
   ASSERT_TRUE(json::parse(doc, R"({"v":2,"node":"n","nonce":1})"));
--- a/tests/holder_test.cpp
+++ b/tests/holder_test.cpp
@@ -327,6 +327,16 @@
   EXPECT_EQ(task().faults, 1U);
 }
 
+// Found by a rough day: after the end of all controllers, tasks went where their image was not.
+TEST_F(HolderTest, ImagesThatRanAreKeptInTheMachinesRecord) {
+  bind_and_start();
+  hello(1, warrant(), part("running"));
+  run(Span{1000});
+  const auto& images = mirror_.records().machines.at(HostId("vm-1")).record.images;
+  ASSERT_EQ(images.size(), 1U);
+  EXPECT_EQ(images[0].first, ImageId("img"));
+}
+
 TEST_F(HolderTest, WorkersThatKeepComingBackMakeAComplaint) {
   give_block("other", 9);
   for (const char* host : {"vm-1", "vm-2"}) hello(1, 0, "", host);
