--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -343,6 +343,21 @@
   return out;
 }
 
+std::size_t Granting::fetches_at(const HostId& host) const {
+  const auto& records = mirror_.records();
+  const auto placed = records.placed.find(host);
+  const auto machine = records.machines.find(host);
+  if (placed == records.placed.end() || machine == records.machines.end()) return 0;
+  std::set<ImageId> coming;
+  for (const auto& [id, attempt] : placed->second) {
+    const TaskRecord* task = records.task(id);
+    const JobRecord* job = records.job(id.uid);
+    if (task != nullptr && job != nullptr && task->running.ms == 0) coming.insert(job->spec.bundle);
+  }
+  for (const auto& [image, gb] : machine->second.record.images) coming.erase(image);
+  return coming.size();
+}
+
 Profile Granting::build_profile() const {
   Profile profile;
   const auto& records = mirror_.records();
@@ -361,6 +376,7 @@
     m.pull_gb_per_s = type->pull_gb_per_s;
     m.room = type->room;
     m.images = images_at(host);
+    m.fetching = fetches_at(host);
     profile.add_machine(std::move(m));
   };
   for (const auto& [host, stored] : records.machines) {
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -52,6 +52,7 @@
   void drain();
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
   [[nodiscard]] std::set<ImageId> images_at(const HostId& host) const;
+  [[nodiscard]] std::size_t fetches_at(const HostId& host) const;
   [[nodiscard]] Profile build_profile() const;
   void occupy(Profile& profile) const;
   [[nodiscard]] Wall likely_end(const TaskRecord& task, const JobSpec& job) const;
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -103,7 +103,8 @@
 
 Span Profile::fetch_time(const JobSpec& job, const PlanMachine& machine) const {
   if (machine.images.contains(job.bundle) || machine.pull_gb_per_s <= 0) return {0};
-  return from_seconds(job.image_gb / machine.pull_gb_per_s);
+  return from_seconds(job.image_gb / machine.pull_gb_per_s *
+                      static_cast<double>(1 + machine.fetching));
 }
 
 bool Profile::holds(const Plan& plan, const JobSpec& job) const {
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -55,6 +55,7 @@
   bool slow = false;
   Room room;
   std::set<ImageId> images;
+  std::size_t fetching = 0;  // images on their way there: a further one shares the rate
 };
 
 /// What is asked of the profile: tasks of one job that are still to be placed.
