--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -17,7 +17,7 @@
 constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 50;
 constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
-constexpr double kSurplusPatience = 0.2;  // of the idle time, for those beyond the spare ones
+constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
 constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
 
