--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -15,7 +15,7 @@
       settings_(settings),
       store_(loop, clock, settings.state, settings.store, settings.node_count()),
       mirror_(loop, clock, store_, nonce.get()),
-      election_(loop, clock, settings, store_, mirror_, nonce),
+      election_(loop, settings, store_, mirror_, nonce),
       cloud_(loop, clock, settings.cloud, settings.cloud_rps),
       fleet_(loop, clock, settings, mirror_, election_, cloud_),
       granting_(loop, clock, settings, mirror_, election_, fleet_),
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -9,10 +9,8 @@
 constexpr Span kStandJitter{150};
 }  // namespace
 
-Election::Election(Loop& loop, const Clock& clock, const Settings& settings, Store& store,
-                   Mirror& mirror, Nonce nonce)
-    : clock_(clock),
-      settings_(settings),
+Election::Election(Loop& loop, const Settings& settings, Store& store, Mirror& mirror, Nonce nonce)
+    : settings_(settings),
       store_(store),
       mirror_(mirror),
       nonce_(nonce),
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -13,8 +13,7 @@
  public:
   enum class State { joining, follower, standing, leading };
 
-  Election(Loop& loop, const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
-           Nonce nonce);
+  Election(Loop& loop, const Settings& settings, Store& store, Mirror& mirror, Nonce nonce);
 
   void begin();
   [[nodiscard]] State state() const { return state_; }
@@ -38,7 +37,6 @@
   void announce();
   void stand(Stamp over);
 
-  const Clock& clock_;
   const Settings& settings_;
   Store& store_;
   Mirror& mirror_;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -800,9 +800,9 @@
   for (const auto& [key, indices] : by_slice) {
     if (pending_.contains(key)) return {};
   }
-  const std::string reason = "displaced for " + spec.uid.get() +
-                             (item.guaranteed ? " (within its team's guarantee)"
-                                              : " (" + std::string(name_of(spec.urgency)) + ")");
+  const std::string reason =
+      "displaced for " + spec.uid.get() +
+      (item.guaranteed ? " (guarantee)" : " (" + std::string(name_of(spec.urgency)) + ")");
   for (const auto& [key, indices] : by_slice) {
     const Span leeway = displacement_leeway(records.job(key.first)->spec);
     stop_tasks(key, [&](std::size_t i, TaskRecord& task) {
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -203,8 +203,7 @@
     // A job with a deadline can rather wait for its image than take what others can't do without.
     const double score = fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
                          price_weight(share, m) +
-                         share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) +
-                         (m.slow ? (job.gang() ? 1000.0 : 20.0) : 0.0) + tie;
+                         share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) + tie;
     candidates.push_back({i, free, score, run});
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -268,7 +267,6 @@
     for (const Spot& s : plan->spots) {
       const PlanMachine& m = (*machines_)[s.machine];
       cost += price_weight(share_of(demand.job->need, m.room), m) / demand.tasks;
-      if ((*machines_)[s.machine].slow) cost += 1000;
     }
     cost +=
         static_cast<double>(std::hash<std::string>{}(demand.job->uid.get() + zone.get()) % 997) /
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -51,8 +51,6 @@
   Wall ready;        // when it can take tasks
   double price = 0;  // per hour, as it is charged
   double pull_gb_per_s = 0;
-  bool prospective = false;  // not rented yet
-  bool slow = false;
   Room room;
   std::set<ImageId> images;
   std::size_t fetching = 0;  // images on their way there: a further one shares the rate
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,5 +1,7 @@
 #include "store/client.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include "wire/json.hpp"
 
 namespace marblevale {
@@ -192,6 +194,11 @@
 
 void StoreClient::commit(Rank rank, Txn txn, std::function<void(CommitResult)> then) {
   const auto writes = static_cast<double>(txn.puts.size() + txn.deletes.size());
+  for (const Put& put : txn.puts) {
+    if (put.value.size() <= limits_.value_bytes) continue;
+    spdlog::error("state service: {} takes {} bytes, more than the limit", put.key,
+                  put.value.size());
+  }
   enqueue(rank, {EVHTTP_REQ_POST, "/commit", write_txn(txn), "application/json", kDeadline}, writes,
           [then = std::move(then)](const HttpReply& reply) {
             CommitResult result;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -101,8 +101,7 @@
 }
 
 Mirror::Mirror(Loop& loop, const Clock& clock, Store& store, std::uint64_t seed)
-    : loop_(loop),
-      clock_(clock),
+    : clock_(clock),
       store_(store),
       random_(seed),
       backoff_(Span{100}, Span{1000}),
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -78,7 +78,6 @@
   void again();
   void index(const SliceRecord& slice, bool add);
 
-  Loop& loop_;
   const Clock& clock_;
   Store& store_;
   std::mt19937_64 random_;
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -107,7 +107,9 @@
   }
 };
 
-inline constexpr std::uint32_t kSliceTasks = 64;
+/// Tasks of one slice: the largest number whose record, with a stop and its reason for every task,
+/// stays within the smallest value that a deployment's state service takes (8 KiB).
+inline constexpr std::uint32_t kSliceTasks = 32;
 
 struct SliceRecord {
   Uid uid;
--- a/src/wire/job_spec.cpp
+++ b/src/wire/job_spec.cpp
@@ -60,7 +60,7 @@
 bool read_builds(const json::Value& object, std::vector<std::string>& out) {
   const json::Value* v = json::field(object, "builds");
   if (v == nullptr) return true;
-  if (!v->IsArray() || v->Empty() || v->Size() > 64) return false;
+  if (!v->IsArray() || v->Empty() || v->Size() > 32) return false;
   for (const auto& item : v->GetArray()) {
     if (!item.IsString() || item.GetStringLength() == 0 || item.GetStringLength() > kMaxName) {
       return false;
--- a/src/wire/json.hpp
+++ b/src/wire/json.hpp
@@ -116,10 +116,6 @@
     writer_.Int(n);
     return *this;
   }
-  Writer& null() {
-    writer_.Null();
-    return *this;
-  }
   /// A value that is JSON already.
   Writer& raw(std::string_view text) {
     writer_.RawValue(text.data(), text.size(), rapidjson::kObjectType);
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -146,6 +146,24 @@
   EXPECT_EQ(again(machine).state, machine.state);
 }
 
+TEST(Records, ASliceFitsTheSmallestValue) {
+  SliceRecord slice;
+  slice.uid = Uid("req-" + std::string(32, 'x'));
+  slice.tasks.resize(kSliceTasks);
+  for (TaskRecord& t : slice.tasks) {
+    t.state = TaskState::bound;
+    t.attempt = Attempt(1000);
+    t.zone = ZoneId("laurentides");
+    t.host = t.failed_on = HostId("vm-000231");
+    t.tenure = Tenure(1000);
+    t.since = t.running = {1'800'000'000'000};
+    t.progress = Span{1'000'000};
+    t.faults = 100;
+    t.stop = StopOrder{Span{100'000}, "displaced for req-000412 (guarantee)"};
+  }
+  EXPECT_LE(encode(slice).size(), 8192U);
+}
+
 TEST(Images, TheLatestWithinTheCacheAreKept) {
   MachineRecord machine;
   machine.host = HostId("vm-1");
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -37,7 +37,7 @@
  protected:
   LeaderTest()
       : mirror_(loop_, time_, store_, 1),
-        election_(loop_, time_, settings(), store_, mirror_, Nonce(7)),
+        election_(loop_, settings(), store_, mirror_, Nonce(7)),
         fleet_(loop_, time_, settings_, mirror_, election_, cloud_),
         granting_(loop_, time_, settings_, mirror_, election_, fleet_) {
     MachineType type;
--- a/tests/holder_test.cpp
+++ b/tests/holder_test.cpp
@@ -28,7 +28,7 @@
  protected:
   HolderTest()
       : mirror_(loop_, time_, store_, 1),
-        election_(loop_, time_, settings(), store_, mirror_, Nonce(7)),
+        election_(loop_, settings(), store_, mirror_, Nonce(7)),
         holder_(loop_, time_, settings_, mirror_, election_, workers_) {
     MachineType type;
     type.name = "g8";
