--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -104,7 +104,11 @@
   auto* why = app.add_subcommand("why", "tell why a job waits, waited or was moved");
   why->add_option("id", uid, "the job")->required();
   why->add_option("--at", at, "a controller's users' address")->envname("MARBLEVALE_AT");
-  CLI11_PARSE(app, argc, argv);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadSettings;
+  }
 
   try {
     if (!set_up_logging()) return kBadSettings;
