--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -209,6 +209,19 @@
   EXPECT_EQ(tasks("req-1").at(0).state, TaskState::released);
 }
 
+TEST_F(LeaderTest, ALongArrayCostsOneSliceAtATime) {
+  machine("vm-1");
+  begin();
+  submit(testing::batch("req-1", 100'000, 1, 60));
+  const auto before = store_.commits.size();
+  run(Span{3000});
+  EXPECT_EQ(mirror_.records().slices.size(), 1U);
+  EXPECT_LE(store_.commits.size() - before, 20U);
+  std::size_t released = 0;
+  for (const TaskRecord& t : tasks("req-1")) released += t.state == TaskState::released ? 1 : 0;
+  EXPECT_EQ(released, 2U) << "as many as the team's limit allows";
+}
+
 TEST_F(LeaderTest, AGangRestartsOnlyAfterProofOfAllItsTasks) {
   settings_.teams[0].gpus_max = 8;
   machine("vm-1");
