--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -165,6 +165,16 @@
   for (const auto& then : answered) then(result);
 }
 
+void Admission::tell(const Found& f, const UserAnswer& if_unknown, const Answer& answer) const {
+  if (!f.ok) {
+    answer(undecided());
+  } else if (f.job) {
+    answer(state_of(f.job->record));
+  } else {
+    answer(f.final_job ? state_of(*f.final_job) : if_unknown);
+  }
+}
+
 std::optional<std::string> Admission::impossible(const JobSpec& job) const {
   const Team* team = settings_.team(job.crew);
   if (team == nullptr) return "unknown team " + job.crew.get();
@@ -211,15 +221,7 @@
   }
   if (refusal) {
     // A job that was accepted gets 200 whatever the repetition looks like.
-    look_up(Uid(*uid), [this, refusal, answer](const Found& f) {
-      if (!f.ok) {
-        answer(undecided());
-      } else if (f.job) {
-        answer(state_of(f.job->record));
-      } else {
-        answer(f.final_job ? state_of(*f.final_job) : *refusal);
-      }
-    });
+    look_up(Uid(*uid), [this, refusal, answer](const Found& f) { tell(f, *refusal, answer); });
     return;
   }
   if (!mirror_.ready() || !mirror_.records().types) {
@@ -238,41 +240,35 @@
   Txn txn;
   txn.guard(keys::job(job->uid), Stamp{}).guard(keys::final_job(job->uid), Stamp{});
   txn.put(keys::job(job->uid), encode(record));
-  mirror_.commit(Rank::submission, std::move(txn),
-                 [this, job, tries, answer](const CommitResult& r) {
-                   switch (r.fate) {
-                     case Fate::done: {
-                       spdlog::debug("admission: {} accepted: {} of {}, {} tasks", job->uid.get(),
-                                     job->workclass, job->crew.get(), job->parts);
-                       UserAnswer accepted = state(job->uid, "queued");
-                       accepted.status = 201;
-                       answer(accepted);
-                       return;
-                     }
-                     case Fate::conflict:
-                       look_up(job->uid, [this, answer](const Found& f) {
-                         if (f.job) {
-                           answer(state_of(f.job->record));
-                         } else {
-                           answer(f.final_job ? state_of(*f.final_job) : undecided());
-                         }
-                       });
-                       return;
-                     case Fate::unknown:
-                       // The same commit again settles it: it passes, or finds that the first one
-                       // did.
-                       if (tries > 1) {
-                         create(job, tries - 1, answer);
-                         return;
-                       }
-                       answer(undecided());
-                       return;
-                     case Fate::refused:
-                     case Fate::no_permit:
-                       answer(undecided());
-                       return;
-                   }
-                 });
+  mirror_.commit(
+      Rank::submission, std::move(txn), [this, job, tries, answer](const CommitResult& r) {
+        switch (r.fate) {
+          case Fate::done: {
+            spdlog::debug("admission: {} accepted: {} of {}, {} tasks", job->uid.get(),
+                          job->workclass, job->crew.get(), job->parts);
+            UserAnswer accepted = state(job->uid, "queued");
+            accepted.status = 201;
+            answer(accepted);
+            return;
+          }
+          case Fate::conflict:
+            look_up(job->uid, [this, answer](const Found& f) { tell(f, undecided(), answer); });
+            return;
+          case Fate::unknown:
+            // The same commit again settles it: it passes, or finds that the first one
+            // did.
+            if (tries > 1) {
+              create(job, tries - 1, answer);
+              return;
+            }
+            answer(undecided());
+            return;
+          case Fate::refused:
+          case Fate::no_permit:
+            answer(undecided());
+            return;
+        }
+      });
 }
 
 void Admission::query(const std::string& uid, Answer answer) {
@@ -281,14 +277,8 @@
     return;
   }
   look_up(Uid(uid), [this, answer](const Found& f) {
-    if (!f.ok) {
-      answer(undecided());
-    } else if (f.job) {
-      if (f.job->record.cancelled) last_cancel_ = std::max(last_cancel_, clock_.wall());
-      answer(state_of(f.job->record));
-    } else {
-      answer(f.final_job ? state_of(*f.final_job) : error(404, "no such job"));
-    }
+    if (f.job && f.job->record.cancelled) last_cancel_ = std::max(last_cancel_, clock_.wall());
+    tell(f, error(404, "no such job"), answer);
   });
 }
 
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -48,6 +48,8 @@
   void found(const Uid& uid, const Found& result);
   void create(std::shared_ptr<JobSpec> job, int tries, Answer answer);
   void cancel(const Uid& uid, int tries, Answer answer);
+  /// The job's state, or `if_unknown` when it was never accepted.
+  void tell(const Found& f, const UserAnswer& if_unknown, const Answer& answer) const;
   void remember(const FinalRecord& job);
   [[nodiscard]] const FinalRecord* remembered(const Uid& uid) const;
   [[nodiscard]] UserAnswer state_of(const JobRecord& job) const;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr Span kDeadline{2000};
-constexpr Span kQueueTime{2500};  // a request that waited this long for the budget is refused
+constexpr Span kQueueTime{2500};     // a request that waited this long for the budget is refused
+constexpr Span kUserQueueTime{800};  // the same where a user waits: better told to come back
 constexpr std::size_t kQueueLimit = 400;
 // Every node may use more than its third, since the leader writes most; what is over the published
 // rate is answered 429, which is safe and tried again.
@@ -123,7 +124,9 @@
     then({0, true, {}});
     return;
   }
-  queue.push_back({std::move(call), writes, clock_.steady() + kQueueTime, std::move(then)});
+  queue.push_back({std::move(call), writes,
+                   clock_.steady() + (rank >= Rank::submission ? kUserQueueTime : kQueueTime),
+                   std::move(then)});
   pump();
 }
 
