--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -55,7 +55,7 @@
       const Span boot = boot_time(hire.record.build);
       // One that is late is expected soon, until it is given up.
       const Wall likely = std::max(hire.record.asked + boot * 1.1, now + Span{5'000});
-      out.push_back({host, {hire.record.build, hire.record.zone, hire.record.spot}, likely});
+      out.push_back({host, hire.record.build, hire.record.zone, hire.record.spot, likely});
     }
   }
   return out;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -11,17 +11,11 @@
 #include "election/election.hpp"
 #include "fleet/cloud_client.hpp"
 #include "fleet/demand.hpp"
+#include "planner/occupancy.hpp"
 #include "store/mirror.hpp"
 
 namespace marblevale {
 
-/// A machine that is rented and has not reported yet.
-struct Booting {
-  HostId host;
-  Offer offer;
-  Wall ready;  // likely
-};
-
 class Fleet {
  public:
   Fleet(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
--- /dev/null
+++ b/src/planner/displacement.cpp
@@ -0,0 +1,152 @@
+#include "planner/displacement.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace marblevale {
+
+namespace {
+constexpr double kImpatientLoss = 60;  // of a victim without a deadline: its start was the point
+constexpr Span kFreshStart{30'000};
+constexpr double kFreshLoss = 15;  // of a victim that has hardly begun
+}  // namespace
+
+std::optional<Displacement> find_room(const QueueItem& item,
+                                      const std::unordered_set<Uid>& guaranteed,
+                                      const Records& records, const Settings& settings,
+                                      const Profile& profile, Wall now) {
+  const JobSpec& spec = *item.demand.job;
+  const Team* team = settings.team(spec.crew);
+  struct Victim {
+    TaskId id;
+    Room room;
+    double loss;
+  };
+  struct Place {
+    HostId host;
+    ZoneId zone;
+    Room free;
+    double fetch = 0;  // seconds until the job's image is there
+    std::vector<Victim> victims;
+  };
+  Room team_used{};
+  std::vector<Place> places;
+  for (const auto& [host, stored] : records.machines) {
+    const MachineRecord& m = stored.record;
+    const MachineType* type = records.type(m.build);
+    if (type == nullptr) continue;
+    Place place{host, m.zone, type->room, 0, {}};
+    if (const auto lane = profile.find(host)) {
+      place.fetch = profile.fetch_time(spec, profile.machines()[*lane]).seconds();
+    }
+    if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
+      for (const auto& [id, attempt] : placed->second) {
+        const JobRecord* other = records.job(id.uid);
+        const TaskRecord* task = records.task(id);
+        if (other == nullptr || task == nullptr) continue;
+        place.free -= other->spec.need;
+        if (other->spec.crew == spec.crew) team_used += other->spec.need;
+        // Room that is being vacated already counts as free: no second victim for it.
+        if (task->stop) {
+          place.free += other->spec.need;
+          continue;
+        }
+        const bool lower = other->spec.urgency < spec.urgency;
+        const bool beyond =
+            item.guaranteed && other->spec.crew != spec.crew && !guaranteed.contains(id.uid);
+        if ((!lower && !beyond) || (other->spec.gang() && other->spec.parts > 1)) continue;
+        const Span ran = task->running.ms == 0 ? Span{0} : now - task->running;
+        // What a restart costs: the unsaved work, another image fetch perhaps, and its own wait.
+        double lost = other->spec.snapshot > Span{0} ? other->spec.stash.seconds() : ran.seconds();
+        lost += (type->pull_gb_per_s > 0 ? other->spec.image_gb / type->pull_gb_per_s : 0) * 0.5;
+        if (!other->spec.due) lost += kImpatientLoss;
+        if (ran < kFreshStart) lost += kFreshLoss;
+        place.victims.push_back({id, other->spec.need, lost});
+      }
+    }
+    PlanMachine rules;
+    rules.build = m.build;
+    rules.zone = m.zone;
+    rules.spot = m.spot;
+    rules.room = type->room;
+    const bool usable = m.state == MachineState::up && !m.recall && Profile::allowed(spec, rules) &&
+                        (!item.demand.zone || *item.demand.zone == m.zone);
+    if (usable) places.push_back(std::move(place));
+  }
+  const Room all = spec.need * static_cast<double>(item.demand.tasks);
+  const std::uint32_t tasks = spec.gang() ? item.demand.tasks : 1;
+  if (team != nullptr && !fits(team_used + (spec.gang() ? all : spec.need), team->limit())) {
+    return std::nullopt;
+  }
+
+  // For each zone (or for all at once), the places that cost least until every task has one.
+  std::vector<std::optional<ZoneId>> zones;
+  if (spec.together) {
+    for (const ZoneId& zone : settings.zones) zones.emplace_back(zone);
+  } else {
+    zones.emplace_back(std::nullopt);
+  }
+  std::vector<TaskId> best;
+  std::vector<HostId> best_hosts;
+  double best_loss = 0;
+  for (const auto& zone : zones) {
+    std::vector<TaskId> chosen;
+    std::vector<HostId> hosts;
+    double loss = 0;
+    std::uint32_t found = 0;
+    std::vector<Place> open = places;
+    while (found < tasks) {
+      std::size_t cheapest = open.size();
+      double least_cost = 0;
+      std::vector<std::size_t> least_victims;
+      for (std::size_t p = 0; p < open.size(); ++p) {
+        if (zone && open[p].zone != *zone) continue;
+        Room free = open[p].free;
+        double cost = open[p].fetch * 2;  // room that can be used later is worth less
+        std::vector<std::size_t> victims;
+        std::vector<std::size_t> order(open[p].victims.size());
+        for (std::size_t v = 0; v < order.size(); ++v) order[v] = v;
+        std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+          return open[p].victims[a].loss < open[p].victims[b].loss;
+        });
+        for (const std::size_t v : order) {
+          if (fits(spec.need, free)) break;
+          free += open[p].victims[v].room;
+          cost += open[p].victims[v].loss + 5;
+          victims.push_back(v);
+        }
+        if (!fits(spec.need, free)) continue;
+        if (cheapest == open.size() || cost < least_cost) {
+          cheapest = p;
+          least_cost = cost;
+          least_victims = victims;
+        }
+      }
+      if (cheapest == open.size()) break;
+      Place& place = open[cheapest];
+      std::sort(least_victims.rbegin(), least_victims.rend());
+      for (const std::size_t v : least_victims) {
+        chosen.push_back(place.victims[v].id);
+        place.free += place.victims[v].room;
+        place.victims.erase(place.victims.begin() + static_cast<std::ptrdiff_t>(v));
+      }
+      place.free -= spec.need;
+      hosts.push_back(place.host);
+      loss += least_cost;
+      ++found;
+    }
+    if (found < tasks || chosen.empty()) {
+      if (found == tasks) return std::nullopt;  // room is being vacated already
+      continue;
+    }
+    if (best.empty() || loss < best_loss) {
+      best = std::move(chosen);
+      best_hosts = std::move(hosts);
+      best_loss = loss;
+    }
+  }
+  if (best.empty()) return std::nullopt;
+  return Displacement{std::move(best), std::move(best_hosts)};
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/planner/displacement.hpp
@@ -0,0 +1,25 @@
+// Which running tasks to stop so that a job of higher rank can start: those that lose least. Pure.
+#pragma once
+
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "planner/planner.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+struct Displacement {
+  std::vector<TaskId> victims;
+  std::vector<HostId> hosts;  // where that makes room
+};
+
+/// Nothing when no room can be made, or when it is being made already.
+std::optional<Displacement> find_room(const QueueItem& item,
+                                      const std::unordered_set<Uid>& guaranteed,
+                                      const Records& records, const Settings& settings,
+                                      const Profile& profile, Wall now);
+
+}  // namespace marblevale
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -4,65 +4,37 @@
 
 #include <algorithm>
 
+#include "planner/displacement.hpp"
+#include "planner/queueing.hpp"
+
 namespace marblevale {
 
 namespace {
 
 constexpr Span kTick{500};
+constexpr Span kRoundEvery{60};  // what changes within this is planned together
+constexpr Span kDisplaceEvery{400};
+constexpr std::size_t kMostDisplacing = 3;  // jobs for which room is sought in one round
 constexpr Span kCoalesce{5};
 constexpr Span kWantEvery{1000};
 constexpr Span kSummaryEvery{10'000};
 constexpr Span kSaveMargin{3'000};  // before a machine is taken back
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
-constexpr Span kLeastRun{5'000};
 constexpr Span kRefusedPause{400};
-constexpr double kImpatientLoss = 60;  // of a victim without a deadline: its start was the point
-constexpr Span kFreshStart{30'000};
-constexpr double kFreshLoss = 15;         // of a victim that has hardly begun
-constexpr double kEstimateMargin = 1.15;  // estimates are often too low
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};           // a start this near needs no new machine
 constexpr Span kOverdueBoot{5'500};     // a machine expected within this is late, or about to come
 constexpr Span kUnplacedWait{600'000};  // of a job that no machine can take
 
-Span retry_pause(std::uint32_t faults) {
-  // The first retry is at once, elsewhere; a job that keeps failing gives way to the others.
-  switch (faults) {
-    case 0:
-    case 1:
-      return {0};
-    case 2:
-      return {4'000};
-    case 3:
-      return {10'000};
-    default:
-      return {30'000};
-  }
-}
-
 /// Time to save, unless saving takes longer than the work that is lost on average by not saving.
 Span displacement_leeway(const JobSpec& job) {
   const Span saving = job.stash + Span{2'000};
   return job.snapshot > Span{0} && job.snapshot * 0.5 <= saving ? Span{0} : saving;
 }
 
-Owner owner_of(const Uid& uid) { return Owner(std::hash<Uid>{}(uid) & ~(3ULL << 62)); }
-
 }  // namespace
 
-void ImageGuess::used(const HostId& host, const ImageId& image, double gb, double cache_gb) {
-  note_image(images_[host], image, gb, cache_gb);
-}
-
-std::set<ImageId> ImageGuess::of(const HostId& host) const {
-  std::set<ImageId> out;
-  const auto it = images_.find(host);
-  if (it == images_.end()) return out;
-  for (const auto& [image, gb] : it->second) out.insert(image);
-  return out;
-}
-
 Granting::Granting(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
                    Election& election, Fleet& fleet)
     : clock_(clock),
@@ -71,53 +43,53 @@
       election_(election),
       fleet_(fleet),
       timer_(loop, [this] { round(); }) {
-  mirror_.listen([this](Topic topic, const std::string& key) {
-    switch (topic) {
-      case Topic::slice:
-        watch_images(key);
-        wake();
-        break;
-      case Topic::job:
-      case Topic::machine:
-      case Topic::leader:
-      case Topic::types:
-      case Topic::hire:
-        wake();
-        break;
-      default:
-        break;
+  mirror_.listen([this](Topic topic, const std::string& key) { noticed(topic, key); });
+}
+
+void Granting::noticed(Topic topic, const std::string& key) {
+  switch (topic) {
+    case Topic::slice: {
+      const auto slash = key.find('/');
+      occupancy_.touch_slice({Uid(key.substr(0, slash)),
+                              static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)))});
+      break;
     }
-  });
+    case Topic::job:
+      for (auto it = mirror_.records().slices.lower_bound({Uid(key), 0});
+           it != mirror_.records().slices.end() && it->first.first.get() == key; ++it) {
+        occupancy_.touch_slice(it->first);
+      }
+      break;
+    case Topic::machine:
+      occupancy_.touch_machine(HostId(key));
+      break;
+    case Topic::types:
+      occupancy_.reset();
+      break;
+    case Topic::leader:
+    case Topic::hire:
+      break;
+    default:
+      return;
+  }
+  wake();
 }
 
-void Granting::begin() { timer_.start(kTick); }
+void Granting::begin() {
+  timer_.start(kTick);
+  timer_due_ = clock_.steady() + kTick;
+}
 
 void Granting::wake() {
   if (!election_.in_charge()) return;
   // Rounds take at most about a third of the processor's share.
   const Span since = clock_.steady() - round_over_;
-  const Span pause = std::max(kCoalesce, round_took_ * 2.0 - since);
+  const Span pause = std::max(kCoalesce, std::max(kRoundEvery, round_took_ * 2.0) - since);
+  if (timer_.pending() && timer_due_ <= clock_.steady() + pause) return;
+  timer_due_ = clock_.steady() + pause;
   timer_.start(pause);
 }
 
-void Granting::watch_images(const std::string& slice_key) {
-  const auto slash = slice_key.find('/');
-  const Uid uid(slice_key.substr(0, slash));
-  const auto& records = mirror_.records();
-  const JobRecord* job = records.job(uid);
-  const auto* slice =
-      records.slice(uid, static_cast<std::uint32_t>(std::stoul(slice_key.substr(slash + 1))));
-  if (job == nullptr || slice == nullptr) return;
-  for (const TaskRecord& task : slice->record.tasks) {
-    if (task.state != TaskState::bound) continue;
-    const auto machine = records.machines.find(task.host);
-    if (machine == records.machines.end()) continue;
-    const MachineType* type = records.type(machine->second.record.build);
-    if (type == nullptr) continue;
-    images_.used(task.host, job->spec.bundle, job->spec.image_gb, type->cache_gb);
-  }
-}
-
 void Granting::transition(State next) {
   if (next == state_) return;
   spdlog::info("granting: {}", next == State::leading ? "leading" : "idle");
@@ -135,6 +107,7 @@
   made_room_.clear();
   persisting_ = false;
   cursor_ = 0;
+  occupancy_.reset();
   // The stored guarantees are taken as they are; places are found again at those times.
   for (const auto& [uid, stored] : mirror_.records().grants) {
     if (stored.record.guarantees.empty()) continue;
@@ -156,6 +129,7 @@
 
 void Granting::round() {
   timer_.start(kTick);
+  timer_due_ = clock_.steady() + kTick;
   if (!election_.in_charge()) {
     transition(State::idle);
     return;
@@ -174,16 +148,20 @@
   for (auto& [txn, slices] : again) commit_slices(std::move(txn), std::move(slices));
   housekeep();
   drain();
-  Profile profile = build_profile();
-  occupy(profile);
-  auto queue = build_queue();
-  std::erase_if(reservations_, [&](const auto& entry) {
-    return std::none_of(queue.begin(), queue.end(),
-                        [&](const QueueItem& item) { return item.uid == entry.first; });
-  });
-  Planner planner(
-      std::move(profile), std::move(queue), reservations_, clock_.wall(),
-      [this, begin] { return clock_.steady() - begin > settings_.tuning.round_budget; });
+  Occupancy::Slices ahead;
+  for (const auto& [key, pending] : pending_) ahead.emplace(key, &pending.slice);
+  const Wall now = clock_.wall();
+  occupancy_.sync(mirror_.records(), settings_.teams, ahead, fleet_.booting(), now);
+  auto queue = build_queue(
+      mirror_.records(), settings_,
+      [this](const Uid& uid, std::uint32_t number) { return current(uid, number); }, now);
+  std::unordered_set<Uid> queued;
+  for (const QueueItem& item : queue) queued.insert(item.uid);
+  std::erase_if(reservations_, [&](const auto& entry) { return !queued.contains(entry.first); });
+  Planner planner(std::move(occupancy_.profile()), std::move(queue), reservations_, now,
+                  [this, begin](double share) {
+                    return clock_.steady() - begin > settings_.tuning.round_budget * share;
+                  });
   Pins pins;
   for (const auto& [uid, made] : made_room_) {
     if (begin - made.at < kRoomEvery) pins.emplace(uid, made.hosts);
@@ -198,9 +176,12 @@
   const auto starts = planner.compress(cursor_);
   for (const Start& start : starts) release(start, planner);
   if (starts.empty() && admitted && cursor_ == 0) displace(planner);
+  if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
   if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
   persist();
-  if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
+  occupancy_.profile() = planner.take_profile();
+  ++rounds_.count;
+  if (!admitted || cursor_ != 0) ++rounds_.cut_short;
   round_over_ = clock_.steady();
   round_took_ = round_over_ - begin;
   if (!admitted || cursor_ != 0) wake();
@@ -333,225 +314,6 @@
   }
 }
 
-std::set<ImageId> Granting::images_at(const HostId& host) const {
-  // The record has what ran there; the guess adds what is being fetched.
-  std::set<ImageId> out = images_.of(host);
-  const auto& machines = mirror_.records().machines;
-  if (const auto it = machines.find(host); it != machines.end()) {
-    for (const auto& [image, gb] : it->second.record.images) out.insert(image);
-  }
-  return out;
-}
-
-std::size_t Granting::fetches_at(const HostId& host) const {
-  const auto& records = mirror_.records();
-  const auto placed = records.placed.find(host);
-  const auto machine = records.machines.find(host);
-  if (placed == records.placed.end() || machine == records.machines.end()) return 0;
-  std::set<ImageId> coming;
-  for (const auto& [id, attempt] : placed->second) {
-    const TaskRecord* task = records.task(id);
-    const JobRecord* job = records.job(id.uid);
-    if (task != nullptr && job != nullptr && task->running.ms == 0) coming.insert(job->spec.bundle);
-  }
-  for (const auto& [image, gb] : machine->second.record.images) coming.erase(image);
-  return coming.size();
-}
-
-Profile Granting::build_profile() const {
-  Profile profile;
-  const auto& records = mirror_.records();
-  const Wall now = clock_.wall();
-  const auto describe = [&](const HostId& host, const std::string& build, const ZoneId& zone,
-                            bool spot, Wall ready) {
-    const MachineType* type = records.type(build);
-    if (type == nullptr) return;
-    PlanMachine m;
-    m.host = host;
-    m.build = build;
-    m.zone = zone;
-    m.spot = spot;
-    m.ready = ready;
-    m.price = type->price_of(spot);
-    m.pull_gb_per_s = type->pull_gb_per_s;
-    m.room = type->room;
-    m.images = images_at(host);
-    m.fetching = fetches_at(host);
-    profile.add_machine(std::move(m));
-  };
-  for (const auto& [host, stored] : records.machines) {
-    const MachineRecord& m = stored.record;
-    if (m.state == MachineState::up && !m.recall) describe(host, m.build, m.zone, m.spot, now);
-  }
-  for (const Booting& b : fleet_.booting()) {
-    describe(b.host, b.offer.build, b.offer.zone, b.offer.spot, b.ready);
-  }
-  for (const Team& team : settings_.teams) profile.set_team(team.name, team.limit());
-  return profile;
-}
-
-Wall Granting::likely_end(const TaskRecord& task, const JobSpec& job) const {
-  const Wall now = clock_.wall();
-  if (task.stop) return now + std::min(task.stop->leeway, job.stash) + Span{1'000};
-  Wall begin = task.running;
-  if (begin.ms == 0) {
-    const auto machine = mirror_.records().machines.find(task.host);
-    const MachineType* type = machine == mirror_.records().machines.end()
-                                  ? nullptr
-                                  : mirror_.records().type(machine->second.record.build);
-    const double rate = type == nullptr ? 0 : type->pull_gb_per_s;
-    begin = task.since + (rate > 0 ? from_seconds(job.image_gb / rate) : Span{1'000});
-  }
-  const Wall end = begin + std::max(kLeastRun, job.expect - task.progress);
-  if (end > now + Span{1'000}) return end;
-  return now + std::max(kLeastRun, job.expect * 0.2);  // it overruns: its end is stretched
-}
-
-void Granting::occupy(Profile& profile) const {
-  std::unordered_map<HostId, std::size_t> index;
-  for (std::size_t i = 0; i < profile.machines().size(); ++i) {
-    index[profile.machines()[i].host] = i;
-  }
-  const Wall past{0};
-  const auto take = [&](const SliceRecord& slice, const JobRecord& job) {
-    for (const TaskRecord& task : slice.tasks) {
-      if (!task.placed()) continue;
-      const Taken taken{past, likely_end(task, job.spec), job.spec.need,
-                        Owner{owner_of(slice.uid).get() | (1ULL << 62)}};
-      const auto at = index.find(task.host);
-      if (at != index.end()) {
-        profile.take(at->second, job.spec.crew, taken);
-      } else {
-        profile.take_team(job.spec.crew, taken);
-      }
-    }
-  };
-  const auto& records = mirror_.records();
-  for (const auto& [key, stored] : records.slices) {
-    const JobRecord* job = records.job(key.first);
-    if (job == nullptr || pending_.contains(key)) continue;
-    take(stored.record, *job);
-  }
-  for (const auto& [key, pending] : pending_) {
-    if (const JobRecord* job = records.job(key.first)) take(pending.slice, *job);
-  }
-}
-
-std::set<Uid> Granting::guaranteed_jobs() const {
-  const auto& records = mirror_.records();
-  std::map<TeamId, std::vector<const JobRecord*>> by_team;
-  for (const auto& [uid, job] : records.jobs) {
-    if (!job.record.cancelled) by_team[job.record.spec.crew].push_back(&job.record);
-  }
-  std::set<Uid> out;
-  for (auto& [name, jobs] : by_team) {
-    const Team* team = settings_.team(name);
-    if (team == nullptr) continue;
-    std::sort(jobs.begin(), jobs.end(), [](const JobRecord* a, const JobRecord* b) {
-      return a->accepted != b->accepted ? a->accepted < b->accepted : a->spec.uid < b->spec.uid;
-    });
-    Room sum{};
-    for (const JobRecord* job : jobs) {
-      sum += job->spec.need * static_cast<double>(job->spec.parts);
-      if (fits(sum, team->guarantee())) out.insert(job->spec.uid);
-    }
-  }
-  return out;
-}
-
-std::optional<QueueItem> Granting::queue_item(const Uid& uid, const JobRecord& job) const {
-  const JobSpec& spec = job.spec;
-  QueueItem item;
-  item.uid = uid;
-  item.owner = owner_of(uid);
-  item.accepted = job.accepted;
-  item.demand.job = &spec;
-  const Wall now = clock_.wall();
-  Span progress = spec.expect;
-  Wall soonest{std::numeric_limits<std::int64_t>::max()};
-  std::vector<std::uint32_t> paused;
-  std::map<ZoneId, std::uint32_t> zones;
-  bool placed = false;
-  for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
-    const SliceRecord* slice = current(uid, n);
-    const bool open = item.parts.empty() && paused.empty();
-    for (std::uint32_t i = 0; i < slice_size(spec, n); ++i) {
-      const TaskRecord* task = slice == nullptr ? nullptr : &slice->tasks[i];
-      if (task != nullptr && task->placed()) {
-        placed = true;
-        ++zones[task->zone];
-      }
-      if (task != nullptr && task->state != TaskState::idle) continue;
-      // Of a long array, one slice at a time is in the queue; a gang is there whole.
-      if (!spec.gang() && !open && n * kSliceTasks + i >= kSliceTasks &&
-          (item.parts.empty() ? paused.front() : item.parts.front()) / kSliceTasks != n) {
-        break;
-      }
-      progress = std::min(progress, task == nullptr ? Span{0} : task->progress);
-      const Wall at = task == nullptr ? Wall{0} : task->since + retry_pause(task->faults);
-      soonest = std::min(soonest, at);
-      (task != nullptr && task->faults > 0 && at > now ? paused : item.parts)
-          .push_back(n * kSliceTasks + i);
-    }
-  }
-  if (spec.gang()) {
-    // A gang starts whole: not before all its earlier tasks are proven gone.
-    if (placed) return std::nullopt;
-    item.parts.insert(item.parts.end(), paused.begin(), paused.end());
-    if (!paused.empty()) item.not_before = soonest;
-    if (item.parts.size() != spec.parts) return std::nullopt;
-    std::sort(item.parts.begin(), item.parts.end());
-  } else if (item.parts.empty() && !paused.empty()) {
-    item.parts = paused;
-    item.not_before = soonest;
-  }
-  if (item.parts.empty()) return std::nullopt;
-  item.demand.tasks = static_cast<std::uint32_t>(item.parts.size());
-  item.demand.run = std::max(kLeastRun, spec.expect - progress);
-  if (spec.together && !zones.empty()) item.demand.zone = zones.begin()->first;
-  item.demand.elsewhere.assign(zones.begin(), zones.end());
-  return item;
-}
-
-void Granting::set_target(QueueItem& item, const JobSpec& job) const {
-  const Wall now = clock_.wall();
-  for (const Objective& o : settings_.objectives) {
-    if (!o.workclass.empty() && o.workclass != job.workclass) continue;
-    std::optional<Wall> start;
-    switch (o.kind) {
-      case Objective::Kind::wait:
-        start = item.accepted + o.within;
-        break;
-      case Objective::Kind::finished:
-        start = item.accepted + o.within - item.demand.run * kEstimateMargin;
-        break;
-      case Objective::Kind::deadline:
-        if (job.due) start = item.accepted + *job.due - item.demand.run * kEstimateMargin;
-        break;
-      case Objective::Kind::guarantee:
-        break;  // has a rank of its own
-    }
-    if (!start) continue;
-    item.missed = true;
-    if (*start > now && (!item.target || *start < *item.target)) item.target = start;
-  }
-  if (item.target) item.missed = false;
-}
-
-std::vector<QueueItem> Granting::build_queue() const {
-  const auto guaranteed = guaranteed_jobs();
-  std::vector<QueueItem> queue;
-  for (const auto& [uid, job] : mirror_.records().jobs) {
-    if (job.record.cancelled) continue;
-    auto item = queue_item(uid, job.record);
-    if (!item) continue;
-    item->guaranteed = guaranteed.contains(uid);
-    set_target(*item, job.record.spec);
-    queue.push_back(std::move(*item));
-  }
-  return queue;
-}
-
 void Granting::commit_slices(Txn txn, std::vector<SliceRecord> slices) {
   for (const SliceRecord& slice : slices) {
     pending_[{slice.uid, slice.number}] = {slice, std::nullopt, std::nullopt};
@@ -634,12 +396,10 @@
 }
 
 void Granting::displace(const Planner& planner) {
-  std::set<Uid> guaranteed;
-  for (const QueueItem& item : planner.queue()) {
-    if (item.guaranteed) guaranteed.insert(item.uid);
-  }
-  for (const Uid& uid : guaranteed_jobs()) guaranteed.insert(uid);
   const Steady now = clock_.steady();
+  if (now - last_displaced_ < kDisplaceEvery) return;
+  last_displaced_ = now;
+  const auto guaranteed = guaranteed_jobs(mirror_.records(), settings_);
   const Wall wall = clock_.wall();
   std::size_t tried = 0;
   for (const QueueItem& item : planner.queue()) {
@@ -649,8 +409,8 @@
     if (!item.guaranteed && item.demand.job->urgency == Urgency::low) continue;
     const auto last = made_room_.find(item.uid);
     if (last != made_room_.end() && now - last->second.at < kRoomEvery) continue;
-    if (++tried > 8) break;
-    const auto hosts = make_room(item, guaranteed);
+    if (++tried > kMostDisplacing) break;
+    const auto hosts = make_room(item, guaranteed, planner.profile());
     if (!hosts.empty()) {
       made_room_[item.uid] = {now, hosts};
       return;  // the next round sees what it freed
@@ -660,141 +420,15 @@
                 [&](const auto& entry) { return now - entry.second.at > Span{60'000}; });
 }
 
-std::vector<HostId> Granting::make_room(const QueueItem& item, const std::set<Uid>& guaranteed) {
+std::vector<HostId> Granting::make_room(const QueueItem& item,
+                                        const std::unordered_set<Uid>& guaranteed,
+                                        const Profile& profile) {
   const auto& records = mirror_.records();
   const JobSpec& spec = *item.demand.job;
-  const Team* team = settings_.team(spec.crew);
-  struct Victim {
-    TaskId id;
-    Room room;
-    double loss;
-  };
-  struct Place {
-    HostId host;
-    ZoneId zone;
-    Room free;
-    double fetch = 0;  // seconds until the job's image is there
-    std::vector<Victim> victims;
-  };
-  Room team_used{};
-  std::vector<Place> places;
-  for (const auto& [host, stored] : records.machines) {
-    const MachineRecord& m = stored.record;
-    const MachineType* type = records.type(m.build);
-    if (type == nullptr) continue;
-    Place place{host, m.zone, type->room, 0, {}};
-    if (type->pull_gb_per_s > 0 && !images_at(host).contains(spec.bundle)) {
-      place.fetch = spec.image_gb / type->pull_gb_per_s;
-    }
-    if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
-      for (const auto& [id, attempt] : placed->second) {
-        const JobRecord* other = records.job(id.uid);
-        const TaskRecord* task = records.task(id);
-        if (other == nullptr || task == nullptr) continue;
-        place.free -= other->spec.need;
-        if (other->spec.crew == spec.crew) team_used += other->spec.need;
-        // Room that is being vacated already counts as free: no second victim for it.
-        if (task->stop) {
-          place.free += other->spec.need;
-          continue;
-        }
-        const bool lower = other->spec.urgency < spec.urgency;
-        const bool beyond =
-            item.guaranteed && other->spec.crew != spec.crew && !guaranteed.contains(id.uid);
-        if ((!lower && !beyond) || (other->spec.gang() && other->spec.parts > 1)) continue;
-        const Span ran = task->running.ms == 0 ? Span{0} : clock_.wall() - task->running;
-        // What a restart costs: the unsaved work, another image fetch perhaps, and its own wait.
-        double lost = other->spec.snapshot > Span{0} ? other->spec.stash.seconds() : ran.seconds();
-        lost += (type->pull_gb_per_s > 0 ? other->spec.image_gb / type->pull_gb_per_s : 0) * 0.5;
-        if (!other->spec.due) lost += kImpatientLoss;
-        if (ran < kFreshStart) lost += kFreshLoss;
-        place.victims.push_back({id, other->spec.need, lost});
-      }
-    }
-    PlanMachine rules;
-    rules.build = m.build;
-    rules.zone = m.zone;
-    rules.spot = m.spot;
-    rules.room = type->room;
-    const bool usable = m.state == MachineState::up && !m.recall && Profile::allowed(spec, rules) &&
-                        (!item.demand.zone || *item.demand.zone == m.zone);
-    if (usable) places.push_back(std::move(place));
-  }
-  const Room all = spec.need * static_cast<double>(item.demand.tasks);
-  const std::uint32_t tasks = spec.gang() ? item.demand.tasks : 1;
-  if (team != nullptr && !fits(team_used + (spec.gang() ? all : spec.need), team->limit())) {
-    return {};
-  }
-
-  // For each zone (or for all at once), the places that cost least until every task has one.
-  std::vector<std::optional<ZoneId>> zones;
-  if (spec.together) {
-    for (const ZoneId& zone : settings_.zones) zones.emplace_back(zone);
-  } else {
-    zones.emplace_back(std::nullopt);
-  }
-  std::vector<TaskId> best;
-  std::vector<HostId> best_hosts;
-  double best_loss = 0;
-  for (const auto& zone : zones) {
-    std::vector<TaskId> chosen;
-    std::vector<HostId> hosts;
-    double loss = 0;
-    std::uint32_t found = 0;
-    std::vector<Place> open = places;
-    while (found < tasks) {
-      std::size_t cheapest = open.size();
-      double least_cost = 0;
-      std::vector<std::size_t> least_victims;
-      for (std::size_t p = 0; p < open.size(); ++p) {
-        if (zone && open[p].zone != *zone) continue;
-        Room free = open[p].free;
-        double cost = open[p].fetch * 2;  // room that can be used later is worth less
-        std::vector<std::size_t> victims;
-        std::vector<std::size_t> order(open[p].victims.size());
-        for (std::size_t v = 0; v < order.size(); ++v) order[v] = v;
-        std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-          return open[p].victims[a].loss < open[p].victims[b].loss;
-        });
-        for (const std::size_t v : order) {
-          if (fits(spec.need, free)) break;
-          free += open[p].victims[v].room;
-          cost += open[p].victims[v].loss + 5;
-          victims.push_back(v);
-        }
-        if (!fits(spec.need, free)) continue;
-        if (cheapest == open.size() || cost < least_cost) {
-          cheapest = p;
-          least_cost = cost;
-          least_victims = victims;
-        }
-      }
-      if (cheapest == open.size()) break;
-      Place& place = open[cheapest];
-      std::sort(least_victims.rbegin(), least_victims.rend());
-      for (const std::size_t v : least_victims) {
-        chosen.push_back(place.victims[v].id);
-        place.free += place.victims[v].room;
-        place.victims.erase(place.victims.begin() + static_cast<std::ptrdiff_t>(v));
-      }
-      place.free -= spec.need;
-      hosts.push_back(place.host);
-      loss += least_cost;
-      ++found;
-    }
-    if (found < tasks || chosen.empty()) {
-      if (found == tasks) return {};  // room is being vacated already
-      continue;
-    }
-    if (best.empty() || loss < best_loss) {
-      best = std::move(chosen);
-      best_hosts = std::move(hosts);
-      best_loss = loss;
-    }
-  }
-  if (best.empty()) return {};
+  const auto room = find_room(item, guaranteed, records, settings_, profile, clock_.wall());
+  if (!room) return {};
   std::map<SliceKey, std::set<std::size_t>> by_slice;
-  for (const TaskId& id : best) {
+  for (const TaskId& id : room->victims) {
     by_slice[{id.uid, id.part / kSliceTasks}].insert(id.part % kSliceTasks);
   }
   for (const auto& [key, indices] : by_slice) {
@@ -812,10 +446,11 @@
     });
     note(key.first, reason);
   }
-  spdlog::info("granting: {} tasks displaced for {}", best.size(), spec.uid.get());
-  return best_hosts;
+  spdlog::info("granting: {} tasks displaced for {}", room->victims.size(), spec.uid.get());
+  return room->hosts;
 }
 
+
 void Granting::summarize(const Planner& planner) {
   last_summary_ = clock_.steady();
   const Wall now = clock_.wall();
@@ -823,7 +458,7 @@
   Room free{};
   std::size_t up = 0;
   for (std::size_t i = 0; i < planner.profile().machines().size(); ++i) {
-    if (planner.profile().machines()[i].ready > now) continue;
+    if (planner.profile().machines()[i].ready > now) continue;  // coming, or gone from the profile
     ++up;
     whole += planner.profile().lane(i).whole();
     free += planner.profile().lane(i).free(now, now + Span{1});
@@ -832,27 +467,11 @@
   for (const QueueItem& item : planner.queue()) waiting += item.demand.tasks;
   spdlog::info(
       "granting: {} machines up, {} coming; {:.0f} of {:.0f} GPUs free; {} jobs, {} tasks wait", up,
-      planner.profile().machines().size() - up, free.gpus, whole.gpus, planner.queue().size(),
+      planner.profile().count() - up, free.gpus, whole.gpus, planner.queue().size(),
       waiting);
 }
 
-namespace {
-
-/// True when a machine could take one of the job's tasks now: then the job waits for its team's
-/// limit, or for its turn, and no machine would help.
-bool has_room(const Profile& profile, const QueueItem& item, Wall now) {
-  const JobSpec& job = *item.demand.job;
-  for (std::size_t i = 0; i < profile.machines().size(); ++i) {
-    const PlanMachine& m = profile.machines()[i];
-    if (m.ready > now || !Profile::allowed(job, m)) continue;
-    if (fits(job.need, profile.lane(i).free(now, now + item.demand.run))) return true;
-  }
-  return false;
-}
-
-}  // namespace
-
-void Granting::want_machines(const Planner& planner) {
+void Granting::want_machines(Planner& planner) {
   last_want_ = clock_.steady();
   const Wall now = clock_.wall();
   std::vector<Wanting> wanting;
@@ -864,7 +483,7 @@
   }
   const auto& machines = planner.profile().machines();
   const bool coming = std::any_of(machines.begin(), machines.end(), [&](const PlanMachine& m) {
-    return m.ready > now + kOverdueBoot;
+    return m.host != HostId{} && m.ready > now + kOverdueBoot;
   });
   // Reservations lag behind what has become possible since (holes are kept on purpose), so what is
   // missing is read from the plan that the queue would get if it were laid out anew.
@@ -872,7 +491,7 @@
     const JobSpec& job = *item->demand.job;
     const Lane* limit = planner.profile().team(job.crew);
     const double least = job.gang() ? item->demand.tasks : 1;
-    if (limit != nullptr && !fits(job.need * least, limit->free(now, now + Span{1}))) continue;
+    if (limit != nullptr && !fits(job.need * least, limit->whole() - limit->running())) continue;
     std::uint32_t late = item->demand.tasks;
     Span wait = kUnplacedWait;
     if (plan) {
@@ -884,7 +503,10 @@
     // Where estimates are too low, room is always about to come free. A job that has waited for a
     // while is believed to wait as long again, unless machines are on their way already.
     const Span waited = now - item->accepted;
-    if (!coming && waited > std::max(wait, kSoon) && !has_room(planner.profile(), *item, now)) {
+    Demand one = item->demand;
+    one.tasks = 1;
+    if (!coming && waited > std::max(wait, kSoon) &&
+        !planner.profile().room_beside_running(one, now)) {
       wait = waited;
       late = item->demand.tasks;
     }
@@ -894,12 +516,8 @@
   std::map<TeamId, Room> team_room;
   for (const Team& team : settings_.teams) {
     if (const Lane* lane = planner.profile().team(team.name)) {
-      Room used{};
-      for (const Taken& t : lane->taken()) {
-        // Only what runs: reservations are what the machines are wanted for.
-        if (t.from.ms == 0) used += t.room;
-      }
-      team_room[team.name] = team.limit() - used;
+      // Only what runs counts: reservations are what the machines are wanted for.
+      team_room[team.name] = team.limit() - lane->running();
     }
   }
   fleet_.plan(std::move(wanting), std::move(team_room), std::move(in_use));
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -6,26 +6,17 @@
 #include <memory>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "app/settings.hpp"
 #include "election/election.hpp"
 #include "fleet/fleet.hpp"
+#include "planner/occupancy.hpp"
 #include "planner/planner.hpp"
 #include "store/mirror.hpp"
 
 namespace marblevale {
 
-/// Images that machines are probably fetching: those of tasks that are bound there.
-class ImageGuess {
- public:
-  void used(const HostId& host, const ImageId& image, double gb, double cache_gb);
-  void forget(const HostId& host) { images_.erase(host); }
-  [[nodiscard]] std::set<ImageId> of(const HostId& host) const;
-
- private:
-  std::unordered_map<HostId, std::vector<std::pair<ImageId, double>>> images_;
-};
-
 class Granting {
  public:
   Granting(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
@@ -45,28 +36,20 @@
   void wake();
   void round();
   void take_over();
-  void watch_images(const std::string& slice_key);
+  void noticed(Topic topic, const std::string& key);
   void housekeep();
   bool end_job(const Uid& uid, const Stored<JobRecord>& job);
   void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
-  [[nodiscard]] std::set<ImageId> images_at(const HostId& host) const;
-  [[nodiscard]] std::size_t fetches_at(const HostId& host) const;
-  [[nodiscard]] Profile build_profile() const;
-  void occupy(Profile& profile) const;
-  [[nodiscard]] Wall likely_end(const TaskRecord& task, const JobSpec& job) const;
-  std::vector<QueueItem> build_queue() const;
-  [[nodiscard]] std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job) const;
-  void set_target(QueueItem& item, const JobSpec& job) const;
-  [[nodiscard]] std::set<Uid> guaranteed_jobs() const;
   void release(const Start& start, const Planner& planner);
   void commit_slices(Txn txn, std::vector<SliceRecord> slices);
   void displace(const Planner& planner);
   /// Stops tasks so that the job can start; the machines on which that made room.
-  std::vector<HostId> make_room(const QueueItem& item, const std::set<Uid>& guaranteed);
+  std::vector<HostId> make_room(const QueueItem& item, const std::unordered_set<Uid>& guaranteed,
+                                const Profile& profile);
   void summarize(const Planner& planner);
-  void want_machines(const Planner& planner);
+  void want_machines(Planner& planner);
   void persist();
   void note(const Uid& uid, std::string what);
 
@@ -89,7 +72,13 @@
   };
   std::unordered_map<Uid, MadeRoom> made_room_;
   bool persisting_ = false;
-  ImageGuess images_;
+  Occupancy occupancy_;
+  struct {
+    std::uint64_t count = 0;
+    std::uint64_t cut_short = 0;  // the budget ended before the queue did
+  } rounds_;
+  Steady last_displaced_{-1'000'000};
+  Steady timer_due_{};
   Steady round_over_{};
   Span round_took_{};
   Steady last_want_{-1'000'000};
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -8,6 +8,13 @@
 namespace {
 // A job that no machine can take yet is granted a start this far away until one is rented.
 constexpr Span kUnplacedDelay{10 * 60'000};
+// Of the round's budget: what placing again and arrivals may use up, so that each step has its turn.
+constexpr double kRestoreShare = 0.4;
+constexpr double kArrivalShare = 0.7;
+// How many jobs before a new one are tried at an earlier place (2.2): with hundreds in the queue, all
+// of them would cost more than the round has.
+constexpr std::size_t kMostMoved = 6;
+constexpr std::uint64_t kStarted = 1ULL << 63;  // marks the owner of what was started this round
 }  // namespace
 
 bool before(const QueueItem& a, const QueueItem& b) {
@@ -27,24 +34,21 @@
 }
 
 Planner::Planner(Profile profile, std::vector<QueueItem> queue, Reservations& reservations,
-                 Wall now, std::function<bool()> spent)
+                 Wall now, std::function<bool(double)> spent)
     : profile_(std::move(profile)),
       queue_(std::move(queue)),
       reservations_(reservations),
       now_(now),
       spent_(std::move(spent)) {
   std::sort(queue_.begin(), queue_.end(), before);
-  for (std::size_t i = 0; i < profile_.machines().size(); ++i) {
-    index_[profile_.machines()[i].host] = i;
-  }
 }
 
 Plan Planner::plan_of(const Reservation& r) const {
   Plan plan;
   for (const auto& place : r.places) {
-    const auto it = index_.find(place.host);
-    if (it == index_.end()) return {};
-    plan.spots.push_back({it->second, place.start, place.end});
+    const auto machine = profile_.find(place.host);
+    if (!machine) return {};
+    plan.spots.push_back({*machine, place.start, place.end});
   }
   return plan;
 }
@@ -126,6 +130,10 @@
         continue;
       }
     }
+    if (spent_(kRestoreShare)) {
+      if (!plan.spots.empty()) profile_.take(plan, *item->demand.job, item->owner);
+      continue;
+    }
     const Wall old = r.start;
     auto again = profile_.earliest(item->demand, now_);
     if (!again) {
@@ -148,10 +156,12 @@
   const Wall its_end = tentative->end();
   // Jobs of higher priority that the new one could delay move first (2.2).
   bool any = false;
+  std::size_t tried = 0;
   for (const QueueItem& other : queue_) {
-    if (other.uid == item.uid) break;
+    if (other.uid == item.uid || tried >= kMostMoved) break;
     const auto it = reservations_.find(other.uid);
     if (it == reservations_.end() || it->second.start <= now_ || other.not_before > now_) continue;
+    ++tried;
     profile_.release(other.owner);
     auto plan = profile_.earliest(other.demand, now_);
     if (plan && plan->start() < it->second.start && plan->start() < its_end) {
@@ -169,21 +179,27 @@
   }
 }
 
-std::vector<std::pair<const QueueItem*, std::optional<Plan>>> Planner::outlook(
-    std::size_t most) const {
+std::vector<std::pair<const QueueItem*, std::optional<Plan>>> Planner::outlook(std::size_t most) {
   std::vector<std::pair<const QueueItem*, std::optional<Plan>>> out;
-  Profile scratch = profile_;
-  for (const QueueItem& item : queue_) scratch.release(item.owner);
+  for (const QueueItem& item : queue_) profile_.release(item.owner);
   for (const QueueItem& item : queue_) {
     if (item.demand.tasks == 0) continue;
     if (out.size() >= most) break;
-    auto plan = scratch.earliest(item.demand, now_);
-    if (plan) scratch.take(*plan, *item.demand.job, item.owner);
+    auto plan = profile_.earliest(item.demand, now_);
+    if (plan) profile_.take(*plan, *item.demand.job, item.owner);
     out.emplace_back(&item, std::move(plan));
   }
   return out;
 }
 
+Profile Planner::take_profile() {
+  for (const QueueItem& item : queue_) {
+    profile_.release(item.owner);
+    profile_.release(Owner{item.owner.get() | kStarted});
+  }
+  return std::move(profile_);
+}
+
 bool Planner::admit_arrivals() {
   std::vector<const QueueItem*> fresh;
   for (const QueueItem& item : queue_) {
@@ -193,7 +209,7 @@
     return a->accepted != b->accepted ? a->accepted < b->accepted : a->uid < b->uid;
   });
   for (const QueueItem* item : fresh) {
-    if (spent_()) return false;
+    if (spent_(kArrivalShare)) return false;
     arrive(*item);
   }
   return true;
@@ -201,10 +217,11 @@
 
 std::vector<Start> Planner::compress(std::size_t& cursor) {
   std::vector<Start> starts;
+  // Gone from the queue, or without room beside what runs: no move of a reservation changes that.
   std::vector<bool> gone(queue_.size(), false);
   std::size_t i = std::min(cursor, queue_.size());
   while (i < queue_.size()) {
-    if (spent_()) {
+    if (spent_(1.0)) {
       cursor = i;
       return starts;
     }
@@ -213,6 +230,10 @@
       ++i;
       continue;
     }
+    if (!profile_.room_beside_running(item.demand, now_)) {
+      gone[i++] = true;
+      continue;
+    }
     profile_.release(item.owner);
     Plan plan;
     if (item.demand.job->gang()) {
@@ -225,7 +246,7 @@
       ++i;
       continue;
     }
-    profile_.take(plan, *item.demand.job, Owner{item.owner.get() | (1ULL << 63)});
+    profile_.take(plan, *item.demand.job, Owner{item.owner.get() | kStarted});
     const std::size_t n = plan.spots.size();
     std::vector<std::uint32_t> parts(item.parts.begin(),
                                      item.parts.begin() + static_cast<std::ptrdiff_t>(n));
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -63,13 +63,13 @@
 
 class Planner {
  public:
-  /// `spent` tells whether the round's budget is used up.
+  /// `spent` tells whether this share of the round's budget is used up.
   Planner(Profile profile, std::vector<QueueItem> queue, Reservations& reservations, Wall now,
-          std::function<bool()> spent);
+          std::function<bool(double)> spent);
 
   /// Puts the reservations into the profile, those for which room was made first. One that no
   /// longer holds (a task overran, a machine was lost) is placed again, and reported if that makes
-  /// it later.
+  /// it later. What the budget leaves keeps its place and is looked at by the next round.
   std::vector<Moved> restore(const Pins& pins = {});
 
   /// The arrival step for jobs without a reservation (the paper's 2.2). False: budget used up.
@@ -79,10 +79,13 @@
   /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
   std::vector<Start> compress(std::size_t& cursor);
 
-  /// What the queue's first `most` jobs would get if all were placed anew, by priority. Nothing is
-  /// changed by asking.
-  [[nodiscard]] std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(
-      std::size_t most) const;
+  /// What the queue's first `most` jobs would get if all were placed anew, by priority. The
+  /// reservations stay as they are, but the profile holds this outlook afterwards: the last question
+  /// of a round.
+  std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(std::size_t most);
+
+  /// Ends the round: the profile without reservations and starts, as it was given.
+  Profile take_profile();
 
   [[nodiscard]] const Profile& profile() const { return profile_; }
   [[nodiscard]] const std::vector<QueueItem>& queue() const { return queue_; }
@@ -98,8 +101,7 @@
   std::vector<QueueItem> queue_;
   Reservations& reservations_;
   Wall now_;
-  std::function<bool()> spent_;
-  std::unordered_map<HostId, std::size_t> index_;
+  std::function<bool(double)> spent_;
 };
 
 }  // namespace marblevale
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -2,41 +2,110 @@
 
 #include <algorithm>
 #include <limits>
+#include <queue>
 
 namespace marblevale {
 
 namespace {
-constexpr std::size_t kMaxMoments = 200;
-constexpr double kPriceSeconds = 30;  // waiting that the dearest machine, used whole, is worth
+constexpr std::size_t kMostSteps = 200;  // moments tried for one demand
+constexpr double kPriceSeconds = 30;     // waiting that the dearest machine, used whole, is worth
 constexpr double kPatientFetch = 0.3;
+constexpr std::size_t kFewTaken = 12;
+constexpr Wall kNever{std::numeric_limits<std::int64_t>::max()};
+
+std::uint64_t mix(std::uint64_t x) {
+  // The finalizer of splitmix64: spreads what differs in a few bits.
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+Room most_of(const Room& a, const Room& b) {
+  return {std::max(a.cpus, b.cpus), std::max(a.gpus, b.gpus), std::max(a.memory_gb, b.memory_gb)};
+}
 }  // namespace
 
+void Lane::take(const Taken& taken) {
+  taken_.push_back(taken);
+  total_ += taken.room;
+  if (taken.from.ms == 0) {
+    running_until_ = running_until_.ms == 0 ? taken.to : std::min(running_until_, taken.to);
+    running_ += taken.room;
+  }
+}
+
 void Lane::release(Owner owner) {
-  std::erase_if(taken_, [&](const Taken& t) { return t.owner == owner; });
+  if (std::erase_if(taken_, [&](const Taken& t) { return t.owner == owner; }) > 0) add_up();
+}
+
+void Lane::add_up() {
+  // Summed anew: adding and taking away would let rounding errors pile up.
+  std::vector<Taken> kept;
+  kept.swap(taken_);
+  total_ = running_ = Room{};
+  running_until_ = Wall{};
+  taken_.reserve(kept.size());
+  for (const Taken& t : kept) take(t);
 }
 
 Room Lane::free(Wall from, Wall to) const {
   // What is taken changes for the worse only where something begins.
-  Room most{};
-  const auto at = [this](Wall moment) {
-    Room sum{};
-    for (const Taken& t : taken_) {
-      if (t.from <= moment && moment < t.to) sum += t.room;
+  Room now{};
+  for (const Taken& t : taken_) {
+    if (t.from <= from && from < t.to) now += t.room;
+  }
+  Room most = now;
+  if (taken_.size() <= kFewTaken) {
+    for (const Taken& begun : taken_) {
+      if (begun.from <= from || begun.from >= to) continue;
+      Room sum{};
+      for (const Taken& t : taken_) {
+        if (t.from <= begun.from && begun.from < t.to) sum += t.room;
+      }
+      most = most_of(most, sum);
     }
-    return sum;
-  };
-  most = at(from);
+    return whole_ - most;
+  }
+  std::vector<std::pair<Wall, const Taken*>> begins;
+  std::vector<std::pair<Wall, const Taken*>> ends;
   for (const Taken& t : taken_) {
-    if (t.from <= from || t.from >= to) continue;
-    const Room sum = at(t.from);
-    most = {std::max(most.cpus, sum.cpus), std::max(most.gpus, sum.gpus),
-            std::max(most.memory_gb, sum.memory_gb)};
+    if (t.from > from && t.from < to) begins.emplace_back(t.from, &t);
+    if (t.from < to && t.to > from) ends.emplace_back(t.to, &t);
+  }
+  std::sort(begins.begin(), begins.end());
+  std::sort(ends.begin(), ends.end());
+  std::size_t over = 0;
+  for (const auto& [at, begun] : begins) {
+    now += begun->room;
+    while (over < ends.size() && ends[over].first <= at) now -= ends[over++].second->room;
+    most = most_of(most, now);
   }
   return whole_ - most;
 }
 
+bool Lane::takes(const Room& need, Wall from, Wall to) const {
+  if (fits(need + total_, whole_)) return true;
+  return fits(need, free(from, to));
+}
+
+std::optional<Wall> Lane::next(const Room& need, Wall from, Span run) const {
+  if (!fits(need, whole_)) return std::nullopt;
+  if (takes(need, from, from + run)) return from;
+  std::vector<Wall> ends;
+  for (const Taken& t : taken_) {
+    if (t.to > from) ends.push_back(t.to);
+  }
+  std::sort(ends.begin(), ends.end());
+  ends.erase(std::unique(ends.begin(), ends.end()), ends.end());
+  if (ends.size() > kMostSteps) ends.erase(ends.begin() + kMostSteps - 1, ends.end() - 1);
+  for (const Wall at : ends) {
+    if (takes(need, at, at + run)) return at;
+  }
+  return std::nullopt;
+}
+
 Wall Plan::first_start() const {
-  Wall first{std::numeric_limits<std::int64_t>::max()};
+  Wall first = kNever;
   for (const Spot& s : spots) first = std::min(first, s.start);
   return first;
 }
@@ -55,13 +124,55 @@
 
 std::size_t Profile::add_machine(PlanMachine machine) {
   dearest_ = std::max(dearest_, machine.price);
-  lanes_.emplace_back(machine.room);
-  machines_->push_back(std::move(machine));
-  return machines_->size() - 1;
+  std::size_t at = machines_.size();
+  if (unused_.empty()) {
+    machines_.emplace_back();
+    salts_.push_back(0);
+    lanes_.emplace_back(Room{});
+  } else {
+    at = unused_.back();
+    unused_.pop_back();
+  }
+  lanes_[at] = Lane(machine.room);
+  salts_[at] = std::hash<HostId>{}(machine.host);
+  index_[machine.host] = at;
+  auto group = std::find_if(groups_.begin(), groups_.end(), [&](const Group& g) {
+    return g.kind.build == machine.build && g.kind.zone == machine.zone &&
+           g.kind.spot == machine.spot;
+  });
+  if (group == groups_.end()) {
+    groups_.push_back({machine, {}});
+    group = std::prev(groups_.end());
+  }
+  group->members.push_back(at);
+  machines_[at] = std::move(machine);
+  return at;
+}
+
+void Profile::remove_machine(std::size_t machine) {
+  for (Group& group : groups_) std::erase(group.members, machine);
+  index_.erase(machines_[machine].host);
+  lanes_[machine] = Lane(Room{});
+  machines_[machine] = PlanMachine{};
+  machines_[machine].ready = kNever;
+  unused_.push_back(machine);
+}
+
+void Profile::update_machine(std::size_t machine, Wall ready, std::set<ImageId> images,
+                             std::size_t fetching) {
+  machines_[machine].ready = ready;
+  machines_[machine].images = std::move(images);
+  machines_[machine].fetching = fetching;
 }
 
 void Profile::set_team(const TeamId& team, Room limit) { teams_.emplace_back(team, Lane(limit)); }
 
+std::optional<std::size_t> Profile::find(const HostId& host) const {
+  const auto it = index_.find(host);
+  if (it == index_.end()) return std::nullopt;
+  return it->second;
+}
+
 const Lane* Profile::team(const TeamId& team) const {
   for (const auto& [name, lane] : teams_) {
     if (name == team) return &lane;
@@ -71,12 +182,15 @@
 
 void Profile::take(std::size_t machine, const TeamId& team, const Taken& taken) {
   lanes_[machine].take(taken);
+  owners_[taken.owner].push_back(machine);
   take_team(team, taken);
 }
 
 void Profile::take_team(const TeamId& team, const Taken& taken) {
-  for (auto& [name, lane] : teams_) {
-    if (name == team) lane.take(taken);
+  for (std::size_t i = 0; i < teams_.size(); ++i) {
+    if (teams_[i].first != team) continue;
+    teams_[i].second.take(taken);
+    team_of_[taken.owner] = i;
   }
 }
 
@@ -87,8 +201,14 @@
 }
 
 void Profile::release(Owner owner) {
-  for (Lane& lane : lanes_) lane.release(owner);
-  for (auto& [name, lane] : teams_) lane.release(owner);
+  if (const auto it = owners_.find(owner); it != owners_.end()) {
+    for (const std::size_t lane : it->second) lanes_[lane].release(owner);
+    owners_.erase(it);
+  }
+  if (const auto it = team_of_.find(owner); it != team_of_.end()) {
+    teams_[it->second].second.release(owner);
+    team_of_.erase(it);
+  }
 }
 
 bool Profile::allowed(const JobSpec& job, const PlanMachine& machine) {
@@ -102,45 +222,34 @@
 }
 
 Span Profile::fetch_time(const JobSpec& job, const PlanMachine& machine) const {
-  if (machine.images.contains(job.bundle) || machine.pull_gb_per_s <= 0) return {0};
+  if (machine.pull_gb_per_s <= 0 || machine.images.contains(job.bundle)) return {0};
   return from_seconds(job.image_gb / machine.pull_gb_per_s *
                       static_cast<double>(1 + machine.fetching));
 }
 
 bool Profile::holds(const Plan& plan, const JobSpec& job) const {
+  // Only the lanes that the plan touches are tried, on copies.
+  std::vector<std::pair<std::size_t, Lane>> scratch;
   const Lane* limit = team(job.crew);
-  // Quick and strict first: all tasks of the plan that overlap count as if they ran at once.
-  const auto strictly = [&] {
-    for (std::size_t i = 0; i < plan.spots.size(); ++i) {
-      const Spot& spot = plan.spots[i];
-      double there = 1;
-      double all = 1;
-      for (std::size_t k = 0; k < i; ++k) {
-        if (plan.spots[k].end <= spot.start || spot.end <= plan.spots[k].start) continue;
-        ++all;
-        if (plan.spots[k].machine == spot.machine) ++there;
-      }
-      if (!fits(job.need * there, lanes_[spot.machine].free(spot.start, spot.end))) return false;
-      if (limit != nullptr && !fits(job.need * all, limit->free(spot.start, spot.end)))
-        return false;
-    }
-    return true;
-  };
+  std::optional<Lane> team_scratch;
+  if (limit != nullptr) team_scratch = *limit;
   for (const Spot& spot : plan.spots) {
-    if (spot.machine >= machines_->size() || (*machines_)[spot.machine].ready > spot.start) {
+    ++looked_;
+    if (spot.machine >= machines_.size() || machines_[spot.machine].ready > spot.start ||
+        machines_[spot.machine].host == HostId{}) {
       return false;
     }
-  }
-  if (strictly()) return true;
-  Profile scratch = *this;
-  const Owner own{std::numeric_limits<std::uint64_t>::max()};
-  for (const Spot& spot : plan.spots) {
-    if (!fits(job.need, scratch.lanes_[spot.machine].free(spot.start, spot.end))) return false;
-    const Lane* scratch_limit = scratch.team(job.crew);
-    if (scratch_limit != nullptr && !fits(job.need, scratch_limit->free(spot.start, spot.end))) {
-      return false;
+    auto lane = std::find_if(scratch.begin(), scratch.end(),
+                             [&](const auto& entry) { return entry.first == spot.machine; });
+    if (lane == scratch.end()) {
+      scratch.emplace_back(spot.machine, lanes_[spot.machine]);
+      lane = std::prev(scratch.end());
     }
-    scratch.take(spot.machine, job.crew, {spot.start, spot.end, job.need, own});
+    if (!lane->second.takes(job.need, spot.start, spot.end)) return false;
+    if (team_scratch && !team_scratch->takes(job.need, spot.start, spot.end)) return false;
+    const Taken taken{spot.start, spot.end, job.need, Owner{}};
+    lane->second.take(taken);
+    if (team_scratch) team_scratch->take(taken);
   }
   return true;
 }
@@ -149,34 +258,77 @@
   return dearest_ > 0 ? kPriceSeconds * share * machine.price / dearest_ : 0;
 }
 
+template <typename Each>
+void Profile::each_allowed(const Demand& demand, const std::optional<ZoneId>& zone,
+                           Each each) const {
+  for (const Group& group : groups_) {
+    if (group.members.empty() || (zone && group.kind.zone != *zone)) continue;
+    if (!allowed(*demand.job, group.kind)) continue;
+    for (const std::size_t i : group.members) {
+      if (!demand.only.empty() && std::find(demand.only.begin(), demand.only.end(),
+                                            machines_[i].host) == demand.only.end()) {
+        continue;
+      }
+      ++looked_;
+      each(i);
+    }
+  }
+}
+
+double Profile::score(const Demand& demand, std::size_t machine, Span fetch,
+                      const Room& free) const {
+  // Sooner started, then cheaper for its share of the machine, then the fuller machine; the rest is
+  // decided by job and machine together, so that no zone is favoured.
+  const JobSpec& job = *demand.job;
+  const PlanMachine& m = machines_[machine];
+  const std::uint64_t draw = mix(salts_[machine] ^ std::hash<Uid>{}(job.uid)) % 997;
+  // A job with a deadline can rather wait for its image than take what others can't do without.
+  return fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
+         price_weight(share_of(job.need, m.room), m) +
+         share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) + static_cast<double>(draw) / 1e5;
+}
+
+bool Profile::room_beside_running(const Demand& demand, Wall at) const {
+  const JobSpec& job = *demand.job;
+  const std::uint32_t wanted = job.gang() ? demand.tasks : 1;
+  std::vector<std::pair<ZoneId, std::uint32_t>> found;
+  bool enough = false;
+  each_allowed(demand, demand.zone, [&](std::size_t i) {
+    if (enough || machines_[i].ready > at || lanes_[i].surely_full(job.need, at)) return;
+    const ZoneId key = job.together ? machines_[i].zone : ZoneId{};
+    auto zone = std::find_if(found.begin(), found.end(),
+                             [&](const auto& entry) { return entry.first == key; });
+    if (zone == found.end()) zone = found.insert(found.end(), {key, 0});
+    Room sum = job.need;
+    while (zone->second < wanted && !lanes_[i].surely_full(sum, at) &&
+           fits(sum, lanes_[i].whole())) {
+      ++zone->second;
+      sum += job.need;
+    }
+    enough = zone->second >= wanted;
+  });
+  return enough;
+}
+
 /// Tasks placed so far while one demand is tried at one moment: what they take of each machine.
 struct Profile::Trial {
-  std::vector<std::pair<std::size_t, Room>> used;
+  std::unordered_map<std::size_t, Room> used;
   Room team_used{};
 
   [[nodiscard]] Room on(std::size_t machine) const {
-    for (const auto& [index, room] : used) {
-      if (index == machine) return room;
-    }
-    return {};
+    const auto it = used.find(machine);
+    return it == used.end() ? Room{} : it->second;
   }
   void add(std::size_t machine, const Room& room) {
     team_used += room;
-    for (auto& [index, sum] : used) {
-      if (index == machine) {
-        sum += room;
-        return;
-      }
-    }
-    used.emplace_back(machine, room);
+    used[machine] += room;
   }
 };
 
-std::optional<Plan> Profile::place_in(const Demand& demand, Wall at, std::optional<ZoneId> zone,
-                                      bool partly) const {
+std::optional<Plan> Profile::place_in(const Demand& demand, Wall at,
+                                      const std::optional<ZoneId>& zone, bool partly,
+                                      Span least_run) const {
   const JobSpec& job = *demand.job;
-  Plan plan;
-  Trial trial;
   struct Candidate {
     std::size_t machine;
     Room free;
@@ -184,30 +336,20 @@
     Span run;
   };
   std::vector<Candidate> candidates;
-  for (std::size_t i = 0; i < machines_->size(); ++i) {
-    const PlanMachine& m = (*machines_)[i];
-    if (m.ready > at || !allowed(job, m) || (zone && m.zone != *zone)) continue;
-    if (!demand.only.empty() &&
-        std::find(demand.only.begin(), demand.only.end(), m.host) == demand.only.end()) {
-      continue;
-    }
-    const Span fetch = fetch_time(job, m);
-    const Span run = demand.run + fetch;
+  each_allowed(demand, zone, [&](std::size_t i) {
+    if (machines_[i].ready > at || lanes_[i].surely_full(job.need, at)) return;
+    const Span fetch = fetch_time(job, machines_[i]);
+    const Span run = std::max(least_run, demand.run + fetch);
     const Room free = lanes_[i].free(at, at + run);
-    if (!fits(job.need, free)) continue;
-    // Sooner started, then cheaper for its share of the machine, then the fuller machine; the rest
-    // is decided by job and machine together, so that no zone is favoured.
-    const double share = share_of(job.need, m.room);
-    const double tie =
-        static_cast<double>(std::hash<std::string>{}(job.uid.get() + m.host.get()) % 997) / 1e5;
-    // A job with a deadline can rather wait for its image than take what others can't do without.
-    const double score = fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
-                         price_weight(share, m) +
-                         share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) + tie;
-    candidates.push_back({i, free, score, run});
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
+    if (!fits(job.need, free)) return;
+    candidates.push_back({i, free, score(demand, i, fetch, free), run});
+  });
+  // Each takes at least one task: those behind the first `tasks` are needed only for `spread`.
+  const std::size_t needed =
+      job.spread ? candidates.size() : std::min<std::size_t>(candidates.size(), demand.tasks);
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(needed), candidates.end(),
+                    [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
 
   const Lane* team = this->team(job.crew);
   Span longest = demand.run;
@@ -223,22 +365,24 @@
     return in_zone.back().second;
   };
 
+  Plan plan;
+  Trial trial;
   std::size_t next = 0;
   for (std::uint32_t task = 0; task < demand.tasks; ++task) {
     if (!fits(trial.team_used + job.need, team_free)) break;
     // A candidate that can't take one task can't take any later one either.
-    while (next < candidates.size()) {
+    while (next < needed) {
       const Candidate& c = candidates[next];
       if (fits(job.need, c.free - trial.on(c.machine)) &&
-          zone_count((*machines_)[c.machine].zone) < zone_most) {
+          zone_count(machines_[c.machine].zone) < zone_most) {
         break;
       }
       ++next;
     }
-    if (next == candidates.size()) break;
+    if (next == needed) break;
     const Candidate& chosen = candidates[next];
     trial.add(chosen.machine, job.need);
-    ++zone_count((*machines_)[chosen.machine].zone);
+    ++zone_count(machines_[chosen.machine].zone);
     plan.spots.push_back({chosen.machine, at, at + chosen.run});
   }
   if (plan.spots.size() < demand.tasks && !partly) return std::nullopt;
@@ -246,31 +390,48 @@
     // A gang runs from when its last task has its image, and ends together.
     const Wall end = plan.end();
     for (Spot& spot : plan.spots) spot.end = end;
-    if (!partly && !holds(plan, job)) return std::nullopt;
+    if (!partly && !holds(plan, job)) {
+      // Machines with the image have room, but not for as long as the slowest fetch makes it.
+      if (least_run >= end - at) return std::nullopt;
+      return place_in(demand, at, zone, partly, end - at);
+    }
   }
   return plan;
 }
 
+std::vector<ZoneId> Profile::zones() const {
+  std::vector<ZoneId> out;
+  for (const Group& group : groups_) {
+    if (!group.members.empty() && std::find(out.begin(), out.end(), group.kind.zone) == out.end()) {
+      out.push_back(group.kind.zone);
+    }
+  }
+  return out;
+}
+
+double Profile::plan_cost(const Demand& demand, const Plan& plan, const ZoneId& zone) const {
+  double cost = 0;
+  for (const Spot& s : plan.spots) {
+    const PlanMachine& m = machines_[s.machine];
+    cost += price_weight(share_of(demand.job->need, m.room), m) / demand.tasks;
+  }
+  return cost + static_cast<double>(mix(std::hash<Uid>{}(demand.job->uid) ^
+                                        std::hash<ZoneId>{}(zone)) %
+                                    997) /
+                    1e4;
+}
+
 std::optional<Plan> Profile::fit_at(const Demand& demand, Wall at) const {
-  if (!demand.job->together || demand.zone) return place_in(demand, at, demand.zone, false);
-  // One zone for all: the one where the gang would end first, then the cheapest.
-  std::vector<ZoneId> zones;
-  for (const PlanMachine& m : *machines_) {
-    if (std::find(zones.begin(), zones.end(), m.zone) == zones.end()) zones.push_back(m.zone);
+  if (!demand.job->together || demand.zone) {
+    return place_in(demand, at, demand.zone, false, Span{0});
   }
+  // One zone for all: the one where the gang would end first, then the cheapest.
   std::optional<Plan> best;
   double best_cost = 0;
-  for (const ZoneId& zone : zones) {
-    auto plan = place_in(demand, at, zone, false);
+  for (const ZoneId& zone : zones()) {
+    auto plan = place_in(demand, at, zone, false, Span{0});
     if (!plan) continue;
-    double cost = (plan->end() - at).seconds();
-    for (const Spot& s : plan->spots) {
-      const PlanMachine& m = (*machines_)[s.machine];
-      cost += price_weight(share_of(demand.job->need, m.room), m) / demand.tasks;
-    }
-    cost +=
-        static_cast<double>(std::hash<std::string>{}(demand.job->uid.get() + zone.get()) % 997) /
-        1e4;
+    const double cost = (plan->end() - at).seconds() + plan_cost(demand, *plan, zone);
     if (!best || cost < best_cost) {
       best = std::move(plan);
       best_cost = cost;
@@ -281,67 +442,162 @@
 
 Plan Profile::fit_some(const Demand& demand, Wall at) const {
   if (!demand.job->together || demand.zone) {
-    return place_in(demand, at, demand.zone, true).value_or(Plan{});
+    return place_in(demand, at, demand.zone, true, Span{0}).value_or(Plan{});
   }
   // An array that must stay together chooses its zone with its first tasks.
   Plan best;
-  for (const PlanMachine& m : *machines_) {
-    auto plan = place_in(demand, at, m.zone, true);
+  for (const ZoneId& zone : zones()) {
+    auto plan = place_in(demand, at, zone, true, Span{0});
     if (plan && plan->spots.size() > best.spots.size()) best = std::move(*plan);
-    if (best.spots.size() == demand.tasks) break;
   }
   return best;
 }
 
-std::vector<Wall> Profile::moments(Wall from) const {
-  std::vector<Wall> out{from};
-  for (std::size_t i = 0; i < machines_->size(); ++i) {
-    if ((*machines_)[i].ready > from) out.push_back((*machines_)[i].ready);
-    for (const Taken& t : lanes_[i].taken()) {
-      if (t.to > from) out.push_back(t.to);
+std::optional<Plan> Profile::gang_in(const Demand& demand, Wall from,
+                                     const std::optional<ZoneId>& zone) const {
+  // For each place that a task could have on a lane (the first, the second, ...), the next moment
+  // at which it is free. The gang can't start before as many are free as it has tasks, so that
+  // moment is tried next; only lanes that were free before it are asked anew.
+  const JobSpec& job = *demand.job;
+  struct Open {
+    Wall next;
+    std::size_t machine;
+    std::uint32_t nth;
+    Span run;
+  };
+  std::vector<Open> opens;
+  const auto ask = [&](Open& open, Wall at) {
+    ++looked_;
+    const Wall begin = std::max(at, machines_[open.machine].ready);
+    const auto next =
+        lanes_[open.machine].next(job.need * static_cast<double>(open.nth), begin, open.run);
+    open.next = next.value_or(kNever);
+  };
+  each_allowed(demand, zone, [&](std::size_t i) {
+    const Span run = demand.run + fetch_time(job, machines_[i]);
+    for (std::uint32_t nth = 1; nth <= demand.tasks; ++nth) {
+      if (!fits(job.need * static_cast<double>(nth), machines_[i].room)) break;
+      Open open{kNever, i, nth, run};
+      ask(open, from);
+      if (open.next == kNever) break;
+      opens.push_back(open);
     }
+  });
+  if (opens.size() < demand.tasks || demand.tasks == 0) return std::nullopt;
+  const Lane* limit = team(job.crew);
+  const Room all = job.need * static_cast<double>(demand.tasks);
+  Wall at = from;
+  for (std::size_t step = 0; step < kMostSteps; ++step) {
+    if (limit != nullptr) {
+      const auto open = limit->next(all, at, demand.run);
+      if (!open) return std::nullopt;
+      at = *open;
+    }
+    for (Open& open : opens) {
+      if (open.next < at) ask(open, at);
+    }
+    const auto nth = opens.begin() + (demand.tasks - 1);
+    std::nth_element(opens.begin(), nth, opens.end(),
+                     [](const Open& a, const Open& b) { return a.next < b.next; });
+    if (nth->next == kNever) return std::nullopt;
+    if (nth->next > at) {
+      at = nth->next;
+      continue;
+    }
+    if (auto plan = place_in(demand, at, zone, false, Span{0})) return plan;
+    // It fits by count, but not for as long as it would take: the next moment at which any changes.
+    Wall later = kNever;
+    for (const Open& open : opens) {
+      if (open.next > at) later = std::min(later, open.next);
+      for (const Taken& t : lanes_[open.machine].taken()) {
+        if (t.to > at) later = std::min(later, t.to);
+      }
+    }
+    if (later == kNever) return std::nullopt;
+    at = later;
   }
-  std::sort(out.begin(), out.end());
-  out.erase(std::unique(out.begin(), out.end()), out.end());
-  if (out.size() > kMaxMoments) {
-    // Keep the last one, at which everything planned is over.
-    out[kMaxMoments - 1] = out.back();
-    out.resize(kMaxMoments);
-  }
-  return out;
+  return std::nullopt;
 }
 
-std::optional<Plan> Profile::earliest(const Demand& demand, Wall from) const {
-  const auto times = moments(from);
-  if (demand.job->gang()) {
-    for (const Wall at : times) {
-      if (auto plan = fit_at(demand, at)) return plan;
+std::optional<Plan> Profile::array_in(const Demand& demand, Wall from,
+                                      const std::optional<ZoneId>& zone) const {
+  // Its tasks start separately: each takes the next free place, the best among equals.
+  const JobSpec& job = *demand.job;
+  struct Open {
+    Wall next;
+    double score;
+    std::size_t machine;
+    Span run;
+    bool operator>(const Open& o) const {
+      return next != o.next ? next > o.next : score > o.score;
     }
-    return std::nullopt;
+  };
+  std::priority_queue<Open, std::vector<Open>, std::greater<>> opens;
+  std::unordered_map<std::size_t, Lane> scratch;
+  const auto lane_of = [&](std::size_t i) -> const Lane& {
+    const auto it = scratch.find(i);
+    return it == scratch.end() ? lanes_[i] : it->second;
+  };
+  const auto ask = [&](std::size_t i, Span run, Wall at) {
+    ++looked_;
+    const Lane& lane = lane_of(i);
+    const auto next = lane.next(job.need, std::max(at, machines_[i].ready), run);
+    if (!next) return;
+    const Room left = lane.whole() - lane.running();
+    opens.push({*next, score(demand, i, run - demand.run, left), i, run});
+  };
+  each_allowed(demand, zone,
+               [&](std::size_t i) { ask(i, demand.run + fetch_time(job, machines_[i]), from); });
+  std::optional<Lane> limit;
+  const Lane* team = this->team(job.crew);
+  if (team != nullptr) limit = *team;
+  const std::uint32_t zone_most = job.spread ? (job.parts + 1) / 2 : job.parts;
+  std::unordered_map<ZoneId, std::uint32_t> in_zone;
+  for (const auto& [name, n] : demand.elsewhere) in_zone[name] += n;
+  Plan plan;
+  const std::size_t most_steps = kMostSteps + 4 * std::size_t{demand.tasks};
+  for (std::size_t step = 0; plan.spots.size() < demand.tasks; ++step) {
+    if (opens.empty() || step > most_steps) return std::nullopt;
+    const Open open = opens.top();
+    opens.pop();
+    if (job.spread && in_zone[machines_[open.machine].zone] >= zone_most) continue;
+    const Wall end = open.next + open.run;
+    if (limit && !limit->takes(job.need, open.next, end)) {
+      const auto later = limit->next(job.need, open.next, open.run);
+      if (later) ask(open.machine, open.run, *later);
+      continue;
+    }
+    const Taken taken{open.next, end, job.need, Owner{}};
+    if (limit) limit->take(taken);
+    scratch.try_emplace(open.machine, lane_of(open.machine)).first->second.take(taken);
+    ++in_zone[machines_[open.machine].zone];
+    plan.spots.push_back({open.machine, open.next, end});
+    ask(open.machine, open.run, from);
   }
-  // An array's tasks start separately: as many as fit at each moment.
-  Plan whole;
-  Profile scratch = *this;
-  Demand rest = demand;
-  const Owner own{std::numeric_limits<std::uint64_t>::max()};
-  // Later moments arise as its own earlier tasks end.
-  std::set<Wall> pending(times.begin(), times.end());
-  std::size_t steps = 0;
-  while (!pending.empty() && rest.tasks > 0 && steps++ < kMaxMoments) {
-    const Wall at = *pending.begin();
-    pending.erase(pending.begin());
-    const Plan some = scratch.fit_some(rest, at);
-    if (some.spots.empty()) continue;
-    scratch.take(some, *demand.job, own);
-    for (const Spot& spot : some.spots) {
-      whole.spots.push_back(spot);
-      pending.insert(spot.end);
-      if (demand.job->together) rest.zone = (*machines_)[spot.machine].zone;
+  return plan;
+}
+
+std::optional<Plan> Profile::earliest(const Demand& demand, Wall from) const {
+  const auto in = [&](const std::optional<ZoneId>& zone) {
+    return demand.job->gang() ? gang_in(demand, from, zone) : array_in(demand, from, zone);
+  };
+  if (!demand.job->together || demand.zone) return in(demand.zone);
+  std::optional<Plan> best;
+  double best_cost = 0;
+  for (const ZoneId& zone : zones()) {
+    auto plan = in(zone);
+    if (!plan) continue;
+    // The start is what is granted; what it costs decides only between equal ones.
+    const double cost = plan->start() == from ? plan_cost(demand, *plan, zone) +
+                                                    (plan->end() - from).seconds()
+                                              : 0;
+    if (!best || plan->start() < best->start() ||
+        (plan->start() == best->start() && cost < best_cost)) {
+      best = std::move(plan);
+      best_cost = cost;
     }
-    rest.tasks -= static_cast<std::uint32_t>(some.spots.size());
   }
-  if (rest.tasks > 0) return std::nullopt;
-  return whole;
+  return best;
 }
 
 }  // namespace marblevale
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -1,13 +1,14 @@
 // The profile: for every machine and team, what is taken from when to when. Pure: no clock, no
-// sockets. Times are points of the time of day.
+// sockets. Times are points of the time of day. It is kept up from change to change, so machines
+// stand in groups of one kind, and each owner's places are known.
 #pragma once
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/amounts.hpp"
@@ -19,7 +20,7 @@
 
 using Owner = Strong<struct OwnerTag, std::uint64_t>;
 
-/// Room that is taken for a while.
+/// Room that is taken for a while. What runs now has begun at time 0.
 struct Taken {
   Wall from;
   Wall to;
@@ -31,16 +32,30 @@
 class Lane {
  public:
   explicit Lane(Room whole) : whole_(whole) {}
-  void take(const Taken& taken) { taken_.push_back(taken); }
+  void take(const Taken& taken);
   void release(Owner owner);
   [[nodiscard]] const Room& whole() const { return whole_; }
   [[nodiscard]] const std::vector<Taken>& taken() const { return taken_; }
-  /// The most that is free during all of [from, to).
+  /// The least that is free at any moment of [from, to).
   [[nodiscard]] Room free(Wall from, Wall to) const;
+  [[nodiscard]] bool takes(const Room& need, Wall from, Wall to) const;
+  /// The first moment from `from` on at which `need` fits for `run`.
+  [[nodiscard]] std::optional<Wall> next(const Room& need, Wall from, Span run) const;
+  /// Quick and certain: what runs at `at` leaves no room for `need`, whatever is reserved.
+  [[nodiscard]] bool surely_full(const Room& need, Wall at) const {
+    return at < running_until_ && !fits(need, whole_ - running_);
+  }
+  /// What runs now.
+  [[nodiscard]] const Room& running() const { return running_; }
 
  private:
+  void add_up();
+
   Room whole_;
   std::vector<Taken> taken_;
+  Room total_{};        // of all that is taken, at whatever time
+  Room running_{};      // of what has begun
+  Wall running_until_;  // when the first of that ends
 };
 
 struct PlanMachine {
@@ -82,9 +97,17 @@
 class Profile {
  public:
   std::size_t add_machine(PlanMachine machine);
+  /// Its lane and all that was taken there; its index may be used again.
+  void remove_machine(std::size_t machine);
   void set_team(const TeamId& team, Room limit);
-
-  [[nodiscard]] const std::vector<PlanMachine>& machines() const { return *machines_; }
+  /// What may change of a machine while it is in the profile.
+  void update_machine(std::size_t machine, Wall ready, std::set<ImageId> images,
+                      std::size_t fetching);
+
+  /// All that ever were, by index; those that are gone have an empty name.
+  [[nodiscard]] const std::vector<PlanMachine>& machines() const { return machines_; }
+  [[nodiscard]] std::size_t count() const { return index_.size(); }
+  [[nodiscard]] std::optional<std::size_t> find(const HostId& host) const;
   [[nodiscard]] const Lane& lane(std::size_t machine) const { return lanes_[machine]; }
   [[nodiscard]] const Lane* team(const TeamId& team) const;
 
@@ -102,24 +125,46 @@
   [[nodiscard]] Plan fit_some(const Demand& demand, Wall at) const;
   /// The earliest plan from `from` on; nothing when no machine of the profile can ever take it.
   [[nodiscard]] std::optional<Plan> earliest(const Demand& demand, Wall from) const;
+  /// False: what runs leaves too little room for the demand at `at` whatever is reserved. Quick.
+  [[nodiscard]] bool room_beside_running(const Demand& demand, Wall at) const;
 
   /// True when the job's rules allow the machine.
   [[nodiscard]] static bool allowed(const JobSpec& job, const PlanMachine& machine);
   [[nodiscard]] Span fetch_time(const JobSpec& job, const PlanMachine& machine) const;
+  /// Lanes looked at so far: the cost of planning in steps.
+  [[nodiscard]] std::uint64_t looked() const { return looked_; }
 
  private:
   struct Trial;
-  std::optional<Plan> place_in(const Demand& demand, Wall at, std::optional<ZoneId> zone,
-                               bool partly) const;
-  std::vector<Wall> moments(Wall from) const;
+  struct Group {
+    PlanMachine kind;  // build, zone, spot and room of its members
+    std::vector<std::size_t> members;
+  };
+  template <typename Each>
+  void each_allowed(const Demand& demand, const std::optional<ZoneId>& zone, Each each) const;
+  std::optional<Plan> place_in(const Demand& demand, Wall at, const std::optional<ZoneId>& zone,
+                               bool partly, Span least_run) const;
+  std::optional<Plan> gang_in(const Demand& demand, Wall from,
+                              const std::optional<ZoneId>& zone) const;
+  std::optional<Plan> array_in(const Demand& demand, Wall from,
+                               const std::optional<ZoneId>& zone) const;
+  [[nodiscard]] double score(const Demand& demand, std::size_t machine, Span fetch,
+                             const Room& free) const;
   [[nodiscard]] double price_weight(double share, const PlanMachine& machine) const;
+  [[nodiscard]] std::vector<ZoneId> zones() const;
+  [[nodiscard]] double plan_cost(const Demand& demand, const Plan& plan, const ZoneId& zone) const;
 
-  // Shared between copies of the profile: only what is taken differs between them.
-  std::shared_ptr<std::vector<PlanMachine>> machines_ =
-      std::make_shared<std::vector<PlanMachine>>();
+  std::vector<PlanMachine> machines_;
+  std::vector<std::uint64_t> salts_;  // decide between equals, by machine and job together
   std::vector<Lane> lanes_;
+  std::vector<std::size_t> unused_;
+  std::vector<Group> groups_;
+  std::unordered_map<HostId, std::size_t> index_;
   double dearest_ = 0;
   std::vector<std::pair<TeamId, Lane>> teams_;
+  std::unordered_map<Owner, std::vector<std::size_t>> owners_;  // lanes where it has taken room
+  std::unordered_map<Owner, std::size_t> team_of_;
+  mutable std::uint64_t looked_ = 0;
 };
 
 }  // namespace marblevale
--- /dev/null
+++ b/src/planner/queueing.cpp
@@ -0,0 +1,151 @@
+#include "planner/queueing.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace marblevale {
+
+namespace {
+
+constexpr Span kLeastRun{5'000};
+constexpr double kEstimateMargin = 1.15;  // estimates are often too low
+
+Span retry_pause(std::uint32_t faults) {
+  // The first retry is at once, elsewhere; a job that keeps failing gives way to the others.
+  switch (faults) {
+    case 0:
+    case 1:
+      return {0};
+    case 2:
+      return {4'000};
+    case 3:
+      return {10'000};
+    default:
+      return {30'000};
+  }
+}
+
+}  // namespace
+
+Owner owner_of(const Uid& uid) { return Owner(std::hash<Uid>{}(uid) & ~(3ULL << 62)); }
+
+std::unordered_set<Uid> guaranteed_jobs(const Records& records, const Settings& settings) {
+  std::map<TeamId, std::vector<const JobRecord*>> by_team;
+  for (const auto& [uid, job] : records.jobs) {
+    if (!job.record.cancelled) by_team[job.record.spec.crew].push_back(&job.record);
+  }
+  std::unordered_set<Uid> out;
+  for (auto& [name, jobs] : by_team) {
+    const Team* team = settings.team(name);
+    if (team == nullptr) continue;
+    std::sort(jobs.begin(), jobs.end(), [](const JobRecord* a, const JobRecord* b) {
+      return a->accepted != b->accepted ? a->accepted < b->accepted : a->spec.uid < b->spec.uid;
+    });
+    Room sum{};
+    for (const JobRecord* job : jobs) {
+      sum += job->spec.need * static_cast<double>(job->spec.parts);
+      if (fits(sum, team->guarantee())) out.insert(job->spec.uid);
+    }
+  }
+  return out;
+}
+
+namespace {
+
+std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job, const CurrentSlice& current,
+                                    Wall now) {
+  const JobSpec& spec = job.spec;
+  QueueItem item;
+  item.uid = uid;
+  item.owner = owner_of(uid);
+  item.accepted = job.accepted;
+  item.demand.job = &spec;
+  Span progress = spec.expect;
+  Wall soonest{std::numeric_limits<std::int64_t>::max()};
+  std::vector<std::uint32_t> paused;
+  std::map<ZoneId, std::uint32_t> zones;
+  bool placed = false;
+  for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
+    const SliceRecord* slice = current(uid, n);
+    const bool open = item.parts.empty() && paused.empty();
+    for (std::uint32_t i = 0; i < slice_size(spec, n); ++i) {
+      const TaskRecord* task = slice == nullptr ? nullptr : &slice->tasks[i];
+      if (task != nullptr && task->placed()) {
+        placed = true;
+        ++zones[task->zone];
+      }
+      if (task != nullptr && task->state != TaskState::idle) continue;
+      // Of a long array, one slice at a time is in the queue; a gang is there whole.
+      if (!spec.gang() && !open && n * kSliceTasks + i >= kSliceTasks &&
+          (item.parts.empty() ? paused.front() : item.parts.front()) / kSliceTasks != n) {
+        break;
+      }
+      progress = std::min(progress, task == nullptr ? Span{0} : task->progress);
+      const Wall at = task == nullptr ? Wall{0} : task->since + retry_pause(task->faults);
+      soonest = std::min(soonest, at);
+      (task != nullptr && task->faults > 0 && at > now ? paused : item.parts)
+          .push_back(n * kSliceTasks + i);
+    }
+  }
+  if (spec.gang()) {
+    // A gang starts whole: not before all its earlier tasks are proven gone.
+    if (placed) return std::nullopt;
+    item.parts.insert(item.parts.end(), paused.begin(), paused.end());
+    if (!paused.empty()) item.not_before = soonest;
+    if (item.parts.size() != spec.parts) return std::nullopt;
+    std::sort(item.parts.begin(), item.parts.end());
+  } else if (item.parts.empty() && !paused.empty()) {
+    item.parts = paused;
+    item.not_before = soonest;
+  }
+  if (item.parts.empty()) return std::nullopt;
+  item.demand.tasks = static_cast<std::uint32_t>(item.parts.size());
+  item.demand.run = std::max(kLeastRun, spec.expect - progress);
+  if (spec.together && !zones.empty()) item.demand.zone = zones.begin()->first;
+  item.demand.elsewhere.assign(zones.begin(), zones.end());
+  return item;
+}
+
+void set_target(QueueItem& item, const JobSpec& job, const Settings& settings, Wall now) {
+  for (const Objective& o : settings.objectives) {
+    if (!o.workclass.empty() && o.workclass != job.workclass) continue;
+    std::optional<Wall> start;
+    switch (o.kind) {
+      case Objective::Kind::wait:
+        start = item.accepted + o.within;
+        break;
+      case Objective::Kind::finished:
+        start = item.accepted + o.within - item.demand.run * kEstimateMargin;
+        break;
+      case Objective::Kind::deadline:
+        if (job.due) start = item.accepted + *job.due - item.demand.run * kEstimateMargin;
+        break;
+      case Objective::Kind::guarantee:
+        break;  // has a rank of its own
+    }
+    if (!start) continue;
+    item.missed = true;
+    if (*start > now && (!item.target || *start < *item.target)) item.target = start;
+  }
+  if (item.target) item.missed = false;
+}
+
+}  // namespace
+
+std::vector<QueueItem> build_queue(const Records& records, const Settings& settings,
+                                   const CurrentSlice& current, Wall now) {
+  const auto guaranteed = guaranteed_jobs(records, settings);
+  std::vector<QueueItem> queue;
+  for (const auto& [uid, job] : records.jobs) {
+    if (job.record.cancelled) continue;
+    auto item = queue_item(uid, job.record, current, now);
+    if (!item) continue;
+    item->guaranteed = guaranteed.contains(uid);
+    set_target(*item, job.record.spec, settings, now);
+    queue.push_back(std::move(*item));
+  }
+  return queue;
+}
+
+}  // namespace marblevale
--- /dev/null
+++ b/src/planner/queueing.hpp
@@ -0,0 +1,27 @@
+// The compression queue as the records give it: which jobs wait, with which tasks, and how they rank.
+// Pure.
+#pragma once
+
+#include <functional>
+#include <unordered_set>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "planner/planner.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+/// A slice as the leader knows it: what it has committed may be ahead of the records.
+using CurrentSlice = std::function<const SliceRecord*(const Uid&, std::uint32_t)>;
+
+/// The owner of a job's reservation in the profile.
+Owner owner_of(const Uid& uid);
+
+/// Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs.
+std::unordered_set<Uid> guaranteed_jobs(const Records& records, const Settings& settings);
+
+std::vector<QueueItem> build_queue(const Records& records, const Settings& settings,
+                                   const CurrentSlice& current, Wall now);
+
+}  // namespace marblevale
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -12,7 +12,7 @@
 using testing::item;
 using testing::machine;
 
-bool never() { return false; }
+bool never(double) { return false; }
 
 Reservation reserved(double start, double end, std::vector<std::string> hosts = {"m"}) {
   Reservation r;
@@ -168,7 +168,7 @@
   Reservations r;
   for (const auto& job : jobs) r.emplace(job.uid, reserved(50, 60));
   int left = 1;
-  const auto spent = [&left] { return left-- <= 0; };
+  const auto spent = [&left](double) { return left-- <= 0; };
   std::vector<QueueItem> queue;
   for (std::size_t i = 0; i < jobs.size(); ++i) {
     queue.push_back(item(jobs[i], i + 1));
