--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -7,11 +7,13 @@
 namespace {
 constexpr Span kStateSilence{2'500};  // without an answer: what peers are told
 constexpr Span kAloneSilence{6'000};  // and when users are sent elsewhere, if a peer has answers
+constexpr Span kSummaryEvery{30'000};
 constexpr std::string_view kJobs = "/api/jobs";
 }  // namespace
 
 Service::Service(Loop& loop, const Clock& clock, const Settings& settings, Nonce nonce)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       settings_(settings),
       store_(loop, clock, settings.state, settings.store, settings.node_count()),
       mirror_(loop, clock, store_, nonce.get()),
@@ -26,9 +28,11 @@
       pulses_(
           loop, clock, settings, [this] { return compose(); },
           [this](const Pulse& pulse) { heard(pulse); }),
-      users_(loop, settings.users, [this](const HttpRequest& request, ResponderPtr responder) {
-        serve(request, std::move(responder));
-      }) {}
+      users_(loop, settings.users,
+             [this](const HttpRequest& request, ResponderPtr responder) {
+               serve(request, std::move(responder));
+             }),
+      summary_timer_(loop, [this] { summarize(); }) {}
 
 void Service::begin() {
   mirror_.begin();
@@ -38,6 +42,12 @@
   grants_.begin();
   holder_.begin();
   pulses_.begin();
+  summary_timer_.start(kSummaryEvery);
+}
+
+void Service::summarize() {
+  summary_timer_.start(kSummaryEvery);
+  spdlog::info("summary: {}", meter_.summary());
 }
 
 bool Service::state_answers(Span within) const {
@@ -91,10 +101,12 @@
     if (!get) return refuse_method();
     responder->reply(healthy() ? 200 : 503, "{}");
   } else if (path == kJobs) {
+    const auto timed = meter_.time(Duty::users);
     if (!post) return refuse_method();
     admission_.submit(request.body, answer);
   } else if (path.compare(0, kJobs.size(), kJobs) == 0 && path.size() > kJobs.size() + 1 &&
              path[kJobs.size()] == '/') {
+    const auto timed = meter_.time(Duty::users);
     const std::string rest = path.substr(kJobs.size() + 1);
     const auto slash = rest.find('/');
     const std::string uid = rest.substr(0, slash);
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -24,6 +24,9 @@
   Pulse compose();
   void heard(const Pulse& pulse);
 
+  void summarize();
+
+  Meter& meter_;
   const Clock& clock_;
   const Settings& settings_;
   StoreClient store_;
@@ -39,6 +42,7 @@
   Pulses pulses_;
   bool healthy_ = false;
   HttpServer users_;
+  Timer summary_timer_;
 };
 
 }  // namespace marblevale
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -46,7 +46,8 @@
 
 Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
                Election& election, OrderSender& orders)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       settings_(settings),
       mirror_(mirror),
       election_(election),
@@ -189,6 +190,7 @@
 }
 
 HelloAnswer Holder::hello(std::string_view body) {
+  const auto timed = meter_.time(Duty::report);
   const auto report = parse_report(body);
   if (!report) return {400, R"({"error":"malformed report"})"};
   const Steady now = clock_.steady();
@@ -339,6 +341,7 @@
 
 void Holder::round() {
   if (!mirror_.ready()) return;
+  const auto timed = meter_.time(Duty::holder);
   take_blocks();
   const Steady until = clock_.steady() + settings_.tuning.round_budget;
   // Slices are taken one by one; what the budget leaves stays in the set for the next round.
@@ -687,6 +690,7 @@
 void Holder::sweep() {
   sweep_timer_.start(kSweep);
   if (!mirror_.ready()) return;
+  const auto timed = meter_.time(Duty::holder);
   const auto& records = mirror_.records();
   const Steady now = clock_.steady();
   for (const ZoneId& zone : wants_renewal_) {
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -100,6 +100,7 @@
   void keep_images(const HostId& host, Worker& worker);
   [[nodiscard]] Span answer_limit() const;
 
+  Meter& meter_;
   const Clock& clock_;
   const Settings& settings_;
   Mirror& mirror_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,7 +25,8 @@
 
 Fleet::Fleet(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
              Election& election, Cloud& cloud)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       settings_(settings),
       mirror_(mirror),
       election_(election),
@@ -89,6 +90,7 @@
     marking_.clear();
     wanting_.clear();
   }
+  const auto timed = meter_.time(Duty::fleet);
   refresh_types();
   refresh_list();
   pursue_hires();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -55,6 +55,7 @@
   [[nodiscard]] bool available(const Offer& offer) const;
   [[nodiscard]] Span boot_time(const std::string& build) const;
 
+  Meter& meter_;
   const Clock& clock_;
   const Settings& settings_;
   Mirror& mirror_;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/meter.hpp"
 #include "core/time.hpp"
 
 namespace marblevale {
@@ -32,11 +33,14 @@
   explicit Loop(TimerQueue* timers = nullptr);
   [[nodiscard]] event_base* base() const { return base_.get(); }
   [[nodiscard]] TimerQueue* timers() const { return timers_; }
+  /// Where those who run on this loop tell what they spend.
+  [[nodiscard]] Meter& meter() { return meter_; }
   void run();
 
  private:
   std::unique_ptr<event_base, decltype(&event_base_free)> base_;
   TimerQueue* timers_;
+  Meter meter_;
 };
 
 /// A timer that can be set again; it never fires after it is destroyed.
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -37,7 +37,8 @@
 
 Granting::Granting(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
                    Election& election, Fleet& fleet)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       settings_(settings),
       mirror_(mirror),
       election_(election),
@@ -134,6 +135,7 @@
     transition(State::idle);
     return;
   }
+  const auto timed = meter_.time(Duty::round);
   const Steady begin = clock_.steady();
   if (state_ != State::leading || term_ != election_.term()) take_over();
   std::erase_if(pending_, [this, begin](const auto& entry) {
@@ -180,8 +182,8 @@
   if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
   persist();
   occupancy_.profile() = planner.take_profile();
-  ++rounds_.count;
-  if (!admitted || cursor_ != 0) ++rounds_.cut_short;
+  // How often the budget ends before the queue does.
+  if (!admitted || cursor_ != 0) meter_.count("rounds cut short");
   round_over_ = clock_.steady();
   round_took_ = round_over_ - begin;
   if (!admitted || cursor_ != 0) wake();
@@ -398,6 +400,7 @@
 void Granting::displace(const Planner& planner) {
   const Steady now = clock_.steady();
   if (now - last_displaced_ < kDisplaceEvery) return;
+  const auto timed = meter_.time(Duty::displace);
   last_displaced_ = now;
   const auto guaranteed = guaranteed_jobs(mirror_.records(), settings_);
   const Wall wall = clock_.wall();
@@ -450,7 +453,6 @@
   return room->hosts;
 }
 
-
 void Granting::summarize(const Planner& planner) {
   last_summary_ = clock_.steady();
   const Wall now = clock_.wall();
@@ -467,11 +469,11 @@
   for (const QueueItem& item : planner.queue()) waiting += item.demand.tasks;
   spdlog::info(
       "granting: {} machines up, {} coming; {:.0f} of {:.0f} GPUs free; {} jobs, {} tasks wait", up,
-      planner.profile().count() - up, free.gpus, whole.gpus, planner.queue().size(),
-      waiting);
+      planner.profile().count() - up, free.gpus, whole.gpus, planner.queue().size(), waiting);
 }
 
 void Granting::want_machines(Planner& planner) {
+  const auto timed = meter_.time(Duty::want);
   last_want_ = clock_.steady();
   const Wall now = clock_.wall();
   std::vector<Wanting> wanting;
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -53,6 +53,7 @@
   void persist();
   void note(const Uid& uid, std::string what);
 
+  Meter& meter_;
   const Clock& clock_;
   const Settings& settings_;
   Mirror& mirror_;
@@ -73,10 +74,6 @@
   std::unordered_map<Uid, MadeRoom> made_room_;
   bool persisting_ = false;
   Occupancy occupancy_;
-  struct {
-    std::uint64_t count = 0;
-    std::uint64_t cut_short = 0;  // the budget ended before the queue did
-  } rounds_;
   Steady last_displaced_{-1'000'000};
   Steady timer_due_{};
   Steady round_over_{};
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -8,11 +8,12 @@
 namespace {
 // A job that no machine can take yet is granted a start this far away until one is rented.
 constexpr Span kUnplacedDelay{10 * 60'000};
-// Of the round's budget: what placing again and arrivals may use up, so that each step has its turn.
+// Of the round's budget: what placing again and arrivals may use up, so that each step has its
+// turn.
 constexpr double kRestoreShare = 0.4;
 constexpr double kArrivalShare = 0.7;
-// How many jobs before a new one are tried at an earlier place (2.2): with hundreds in the queue, all
-// of them would cost more than the round has.
+// How many jobs before a new one are tried at an earlier place (2.2): with hundreds in the queue,
+// all of them would cost more than the round has.
 constexpr std::size_t kMostMoved = 6;
 constexpr std::uint64_t kStarted = 1ULL << 63;  // marks the owner of what was started this round
 }  // namespace
@@ -215,9 +216,82 @@
   return true;
 }
 
+std::optional<Plan> Planner::start_now(const QueueItem& item) const {
+  const auto kept = reservations_.find(item.uid);
+  const Plan reserved = kept == reservations_.end() ? Plan{} : plan_of(kept->second);
+  const bool due = reserved.spots.size() == item.demand.tasks && !reserved.spots.empty() &&
+                   reserved.start() <= now_;
+  if (due) {
+    // Its own places, if their images are there: nothing better is to be found.
+    const bool images =
+        std::all_of(reserved.spots.begin(), reserved.spots.end(), [&](const Spot& s) {
+          const PlanMachine& machine = profile_.machines()[s.machine];
+          return profile_.fetch_time(*item.demand.job, machine) <= Span{0};
+        });
+    if (images && profile_.holds(reserved, *item.demand.job)) return reserved;
+  }
+  if (item.demand.job->gang()) return profile_.fit_at(item.demand, now_);
+  Plan some = profile_.fit_some(item.demand, now_);
+  if (some.spots.empty()) return std::nullopt;
+  return some;
+}
+
+void Planner::begin_now(QueueItem& item, const Plan& plan) {
+  // As what runs: from the beginning of time, so that a full machine is seen at a glance.
+  for (const Spot& s : plan.spots) {
+    profile_.take(s.machine, item.demand.job->crew,
+                  {Wall{0}, s.end, item.demand.job->need, Owner{item.owner.get() | kStarted}});
+  }
+  const auto n = static_cast<std::ptrdiff_t>(plan.spots.size());
+  item.parts.erase(item.parts.begin(), item.parts.begin() + n);
+  item.demand.tasks -= static_cast<std::uint32_t>(n);
+  if (item.demand.job->together) {
+    item.demand.zone = profile_.machines()[plan.spots[0].machine].zone;
+  }
+  for (const Spot& s : plan.spots) {
+    const ZoneId& zone = profile_.machines()[s.machine].zone;
+    auto& zones = item.demand.elsewhere;
+    const auto at = std::find_if(zones.begin(), zones.end(),
+                                 [&](const auto& entry) { return entry.first == zone; });
+    if (at == zones.end()) {
+      zones.emplace_back(zone, 1);
+    } else {
+      ++at->second;
+    }
+  }
+}
+
+void Planner::keep_rest(const QueueItem& item) {
+  // The tasks that did not start keep the job's later places; the earliest are given up.
+  Reservation& r = reservations_.at(item.uid);
+  std::sort(r.places.begin(), r.places.end(),
+            [](const auto& a, const auto& b) { return a.start < b.start; });
+  if (r.places.size() > item.demand.tasks) {
+    r.places.erase(r.places.begin(), r.places.begin() + static_cast<std::ptrdiff_t>(
+                                                            r.places.size() - item.demand.tasks));
+  }
+  const Plan rest = plan_of(r);
+  if (!rest.spots.empty() && profile_.holds(rest, *item.demand.job)) {
+    profile_.take(rest, *item.demand.job, item.owner);
+  } else if (const auto later = profile_.earliest(item.demand, now_)) {
+    set(item, *later);
+  } else {
+    hold_unplaced(item);
+  }
+}
+
+bool Planner::could_begin_on(const QueueItem& item, const std::vector<std::size_t>& lanes) const {
+  return std::any_of(lanes.begin(), lanes.end(), [&](std::size_t lane) {
+    return Profile::allowed(*item.demand.job, profile_.machines()[lane]) &&
+           profile_.lane(lane).takes(item.demand.job->need, now_, now_ + item.demand.run);
+  });
+}
+
 std::vector<Start> Planner::compress(std::size_t& cursor) {
   std::vector<Start> starts;
-  // Gone from the queue, or without room beside what runs: no move of a reservation changes that.
+  // `blocked`: tried since anything that it could use was given up. `gone`: started, or without
+  // room beside what runs, which no move of a reservation changes.
+  std::vector<bool> blocked(queue_.size(), false);
   std::vector<bool> gone(queue_.size(), false);
   std::size_t i = std::min(cursor, queue_.size());
   while (i < queue_.size()) {
@@ -226,7 +300,7 @@
       return starts;
     }
     QueueItem& item = queue_[i];
-    if (gone[i] || item.not_before > now_ || !reservations_.contains(item.uid)) {
+    if (gone[i] || blocked[i] || item.not_before > now_ || !reservations_.contains(item.uid)) {
       ++i;
       continue;
     }
@@ -235,59 +309,39 @@
       continue;
     }
     profile_.release(item.owner);
-    Plan plan;
-    if (item.demand.job->gang()) {
-      if (auto whole = profile_.fit_at(item.demand, now_)) plan = std::move(*whole);
-    } else {
-      plan = profile_.fit_some(item.demand, now_);
-    }
-    if (plan.spots.empty()) {
+    const auto plan = start_now(item);
+    if (!plan) {
       put_back(item);
-      ++i;
+      blocked[i++] = true;
       continue;
     }
-    profile_.take(plan, *item.demand.job, Owner{item.owner.get() | kStarted});
-    const std::size_t n = plan.spots.size();
-    std::vector<std::uint32_t> parts(item.parts.begin(),
-                                     item.parts.begin() + static_cast<std::ptrdiff_t>(n));
-    item.parts.erase(item.parts.begin(), item.parts.begin() + static_cast<std::ptrdiff_t>(n));
-    item.demand.tasks -= static_cast<std::uint32_t>(n);
-    if (item.demand.job->together)
-      item.demand.zone = profile_.machines()[plan.spots[0].machine].zone;
-    for (const Spot& s : plan.spots) {
-      const ZoneId& zone = profile_.machines()[s.machine].zone;
-      auto& zones = item.demand.elsewhere;
-      const auto at = std::find_if(zones.begin(), zones.end(),
-                                   [&](const auto& entry) { return entry.first == zone; });
-      if (at == zones.end()) {
-        zones.emplace_back(zone, 1);
-      } else {
-        ++at->second;
-      }
+    // Places that it gives up by starting now; those it starts on are not among them, unless they
+    // were reserved for later.
+    std::vector<std::size_t> opened;
+    for (const Spot& s : plan_of(reservations_.at(item.uid)).spots) {
+      const bool same =
+          s.start <= now_ && std::any_of(plan->spots.begin(), plan->spots.end(),
+                                         [&](const Spot& t) { return t.machine == s.machine; });
+      if (!same) opened.push_back(s.machine);
     }
-    starts.push_back({item.uid, std::move(plan), std::move(parts)});
+    std::vector<std::uint32_t> parts(
+        item.parts.begin(), item.parts.begin() + static_cast<std::ptrdiff_t>(plan->spots.size()));
+    begin_now(item, *plan);
+    starts.push_back({item.uid, *plan, std::move(parts)});
     if (item.demand.tasks == 0) {
       gone[i] = true;
     } else {
-      // The rest keeps its places, the latest of them given up.
-      Reservation& r = reservations_.at(item.uid);
-      std::sort(r.places.begin(), r.places.end(),
-                [](const auto& a, const auto& b) { return a.start < b.start; });
-      if (r.places.size() > item.demand.tasks) {
-        r.places.erase(
-            r.places.begin(),
-            r.places.begin() + static_cast<std::ptrdiff_t>(r.places.size() - item.demand.tasks));
-      }
-      const Plan rest = plan_of(r);
-      if (!rest.spots.empty() && profile_.holds(rest, *item.demand.job)) {
-        profile_.take(rest, *item.demand.job, item.owner);
-      } else if (const auto later = profile_.earliest(item.demand, now_)) {
-        set(item, *later);
-      } else {
-        hold_unplaced(item);
-      }
+      blocked[i] = true;
+      keep_rest(item);
+    }
+    // Back to the front of the queue (2.1): to the first that could use what was given up.
+    std::size_t front = i + 1;
+    for (std::size_t k = 0; k <= i && !opened.empty(); ++k) {
+      if (!blocked[k] || gone[k] || !could_begin_on(queue_[k], opened)) continue;
+      blocked[k] = false;
+      front = std::min(front, k);
     }
-    i = 0;  // a place was given up: those before may fit now
+    i = front;
   }
   cursor = 0;
   return starts;
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -80,8 +80,8 @@
   std::vector<Start> compress(std::size_t& cursor);
 
   /// What the queue's first `most` jobs would get if all were placed anew, by priority. The
-  /// reservations stay as they are, but the profile holds this outlook afterwards: the last question
-  /// of a round.
+  /// reservations stay as they are, but the profile holds this outlook afterwards: the last
+  /// question of a round.
   std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(std::size_t most);
 
   /// Ends the round: the profile without reservations and starts, as it was given.
@@ -96,6 +96,11 @@
   void put_back(const QueueItem& item);
   void arrive(const QueueItem& item);
   void hold_unplaced(const QueueItem& item);
+  [[nodiscard]] std::optional<Plan> start_now(const QueueItem& item) const;
+  void begin_now(QueueItem& item, const Plan& plan);
+  void keep_rest(const QueueItem& item);
+  [[nodiscard]] bool could_begin_on(const QueueItem& item,
+                                    const std::vector<std::size_t>& lanes) const;
 
   Profile profile_;
   std::vector<QueueItem> queue_;
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -1,6 +1,7 @@
 #include "planner/profile.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <queue>
 
@@ -10,7 +11,7 @@
 constexpr std::size_t kMostSteps = 200;  // moments tried for one demand
 constexpr double kPriceSeconds = 30;     // waiting that the dearest machine, used whole, is worth
 constexpr double kPatientFetch = 0.3;
-constexpr std::size_t kFewTaken = 12;
+constexpr double kNothing = 1e-7;  // what rounding leaves
 constexpr Wall kNever{std::numeric_limits<std::int64_t>::max()};
 
 std::uint64_t mix(std::uint64_t x) {
@@ -25,9 +26,48 @@
 }
 }  // namespace
 
+std::size_t Lane::step_at(Wall at) const {
+  // The step that holds at `at`, or the number of steps if that is before the first.
+  const auto after = std::upper_bound(steps_.begin(), steps_.end(), at,
+                                      [](Wall t, const Step& step) { return t < step.from; });
+  return after == steps_.begin() ? steps_.size()
+                                 : static_cast<std::size_t>(after - steps_.begin()) - 1;
+}
+
+std::size_t Lane::cut_at(Wall at) {
+  const auto it = std::lower_bound(steps_.begin(), steps_.end(), at,
+                                   [](const Step& step, Wall t) { return step.from < t; });
+  const auto index = it - steps_.begin();
+  if (it == steps_.end() || it->from != at) {
+    const Room used = it == steps_.begin() ? Room{} : std::prev(it)->used;
+    steps_.insert(it, Step{at, used});
+  }
+  return static_cast<std::size_t>(index);
+}
+
+void Lane::add(const Taken& taken, double sign) {
+  if (taken.to <= taken.from) return;
+  const std::size_t begin = cut_at(taken.from);
+  const std::size_t end = cut_at(taken.to);
+  const Room change = taken.room * sign;
+  for (std::size_t i = begin; i < end; ++i) steps_[i].used += change;
+  total_ += change;
+  // Borders that no longer part anything go, and with them what rounding has left.
+  const auto none = [](double x) { return std::abs(x) < kNothing; };
+  const auto same = [&](const Room& x, const Room& y) {
+    return none(x.cpus - y.cpus) && none(x.gpus - y.gpus) && none(x.memory_gb - y.memory_gb);
+  };
+  for (std::size_t i = std::min(end, steps_.size() - 1) + 1; i-- > begin;) {
+    const Room before = i == 0 ? Room{} : steps_[i - 1].used;
+    if (same(steps_[i].used, before)) {
+      steps_.erase(steps_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+  }
+}
+
 void Lane::take(const Taken& taken) {
   taken_.push_back(taken);
-  total_ += taken.room;
+  add(taken, 1);
   if (taken.from.ms == 0) {
     running_until_ = running_until_.ms == 0 ? taken.to : std::min(running_until_, taken.to);
     running_ += taken.room;
@@ -35,73 +75,66 @@
 }
 
 void Lane::release(Owner owner) {
-  if (std::erase_if(taken_, [&](const Taken& t) { return t.owner == owner; }) > 0) add_up();
-}
-
-void Lane::add_up() {
-  // Summed anew: adding and taking away would let rounding errors pile up.
-  std::vector<Taken> kept;
-  kept.swap(taken_);
-  total_ = running_ = Room{};
+  bool ran = false;
+  for (std::size_t i = taken_.size(); i-- > 0;) {
+    if (taken_[i].owner != owner) continue;
+    add(taken_[i], -1);
+    ran = ran || taken_[i].from.ms == 0;
+    taken_[i] = taken_.back();
+    taken_.pop_back();
+  }
+  if (taken_.empty()) {
+    steps_.clear();
+    total_ = Room{};
+  }
+  if (!ran) return;
+  running_ = Room{};
   running_until_ = Wall{};
-  taken_.reserve(kept.size());
-  for (const Taken& t : kept) take(t);
+  for (const Taken& t : taken_) {
+    if (t.from.ms != 0) continue;
+    running_until_ = running_until_.ms == 0 ? t.to : std::min(running_until_, t.to);
+    running_ += t.room;
+  }
 }
 
 Room Lane::free(Wall from, Wall to) const {
-  // What is taken changes for the worse only where something begins.
-  Room now{};
-  for (const Taken& t : taken_) {
-    if (t.from <= from && from < t.to) now += t.room;
-  }
-  Room most = now;
-  if (taken_.size() <= kFewTaken) {
-    for (const Taken& begun : taken_) {
-      if (begun.from <= from || begun.from >= to) continue;
-      Room sum{};
-      for (const Taken& t : taken_) {
-        if (t.from <= begun.from && begun.from < t.to) sum += t.room;
-      }
-      most = most_of(most, sum);
-    }
-    return whole_ - most;
-  }
-  std::vector<std::pair<Wall, const Taken*>> begins;
-  std::vector<std::pair<Wall, const Taken*>> ends;
-  for (const Taken& t : taken_) {
-    if (t.from > from && t.from < to) begins.emplace_back(t.from, &t);
-    if (t.from < to && t.to > from) ends.emplace_back(t.to, &t);
-  }
-  std::sort(begins.begin(), begins.end());
-  std::sort(ends.begin(), ends.end());
-  std::size_t over = 0;
-  for (const auto& [at, begun] : begins) {
-    now += begun->room;
-    while (over < ends.size() && ends[over].first <= at) now -= ends[over++].second->room;
-    most = most_of(most, now);
-  }
+  Room most{};
+  std::size_t i = step_at(from);
+  if (i == steps_.size()) i = 0;
+  for (; i < steps_.size() && steps_[i].from < to; ++i) most = most_of(most, steps_[i].used);
   return whole_ - most;
 }
 
 bool Lane::takes(const Room& need, Wall from, Wall to) const {
   if (fits(need + total_, whole_)) return true;
-  return fits(need, free(from, to));
+  std::size_t i = step_at(from);
+  if (i == steps_.size()) i = 0;
+  for (; i < steps_.size() && steps_[i].from < to; ++i) {
+    if (!fits(need + steps_[i].used, whole_)) return false;
+  }
+  return true;
 }
 
 std::optional<Wall> Lane::next(const Room& need, Wall from, Span run) const {
   if (!fits(need, whole_)) return std::nullopt;
-  if (takes(need, from, from + run)) return from;
-  std::vector<Wall> ends;
-  for (const Taken& t : taken_) {
-    if (t.to > from) ends.push_back(t.to);
-  }
-  std::sort(ends.begin(), ends.end());
-  ends.erase(std::unique(ends.begin(), ends.end()), ends.end());
-  if (ends.size() > kMostSteps) ends.erase(ends.begin() + kMostSteps - 1, ends.end() - 1);
-  for (const Wall at : ends) {
-    if (takes(need, at, at + run)) return at;
+  if (fits(need + total_, whole_)) return from;
+  Wall begin = from;
+  std::size_t i = step_at(from);
+  if (i == steps_.size()) i = 0;
+  for (; i < steps_.size() && steps_[i].from < begin + run; ++i) {
+    if (fits(need + steps_[i].used, whole_)) continue;
+    // Too much is used here: not before the next step.
+    if (i + 1 == steps_.size()) return std::nullopt;  // cannot be: the last step uses nothing
+    begin = steps_[i + 1].from;
   }
-  return std::nullopt;
+  return begin;
+}
+
+std::optional<Wall> Lane::change_after(Wall at) const {
+  const auto after = std::upper_bound(steps_.begin(), steps_.end(), at,
+                                      [](Wall t, const Step& step) { return t < step.from; });
+  if (after == steps_.end()) return std::nullopt;
+  return after->from;
 }
 
 Wall Plan::first_start() const {
@@ -228,6 +261,31 @@
 }
 
 bool Profile::holds(const Plan& plan, const JobSpec& job) const {
+  // Quick and strict first: all tasks of the plan that overlap count as if they ran at once.
+  const auto strictly = [&] {
+    const Lane* limit = team(job.crew);
+    for (std::size_t i = 0; i < plan.spots.size(); ++i) {
+      const Spot& spot = plan.spots[i];
+      double there = 1;
+      double all = 1;
+      for (std::size_t k = 0; k < i; ++k) {
+        if (plan.spots[k].end <= spot.start || spot.end <= plan.spots[k].start) continue;
+        ++all;
+        if (plan.spots[k].machine == spot.machine) ++there;
+      }
+      ++looked_;
+      if (!lanes_[spot.machine].takes(job.need * there, spot.start, spot.end)) return false;
+      if (limit != nullptr && !limit->takes(job.need * all, spot.start, spot.end)) return false;
+    }
+    return true;
+  };
+  for (const Spot& spot : plan.spots) {
+    if (spot.machine >= machines_.size() || machines_[spot.machine].ready > spot.start ||
+        machines_[spot.machine].host == HostId{}) {
+      return false;
+    }
+  }
+  if (strictly()) return true;
   // Only the lanes that the plan touches are tried, on copies.
   std::vector<std::pair<std::size_t, Lane>> scratch;
   const Lane* limit = team(job.crew);
@@ -235,10 +293,6 @@
   if (limit != nullptr) team_scratch = *limit;
   for (const Spot& spot : plan.spots) {
     ++looked_;
-    if (spot.machine >= machines_.size() || machines_[spot.machine].ready > spot.start ||
-        machines_[spot.machine].host == HostId{}) {
-      return false;
-    }
     auto lane = std::find_if(scratch.begin(), scratch.end(),
                              [&](const auto& entry) { return entry.first == spot.machine; });
     if (lane == scratch.end()) {
@@ -347,8 +401,8 @@
   // Each takes at least one task: those behind the first `tasks` are needed only for `spread`.
   const std::size_t needed =
       job.spread ? candidates.size() : std::min<std::size_t>(candidates.size(), demand.tasks);
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(needed), candidates.end(),
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(needed),
+                    candidates.end(),
                     [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
 
   const Lane* team = this->team(job.crew);
@@ -415,9 +469,8 @@
     const PlanMachine& m = machines_[s.machine];
     cost += price_weight(share_of(demand.job->need, m.room), m) / demand.tasks;
   }
-  return cost + static_cast<double>(mix(std::hash<Uid>{}(demand.job->uid) ^
-                                        std::hash<ZoneId>{}(zone)) %
-                                    997) /
+  return cost + static_cast<double>(
+                    mix(std::hash<Uid>{}(demand.job->uid) ^ std::hash<ZoneId>{}(zone)) % 997) /
                     1e4;
 }
 
@@ -509,8 +562,8 @@
     Wall later = kNever;
     for (const Open& open : opens) {
       if (open.next > at) later = std::min(later, open.next);
-      for (const Taken& t : lanes_[open.machine].taken()) {
-        if (t.to > at) later = std::min(later, t.to);
+      if (const auto change = lanes_[open.machine].change_after(at)) {
+        later = std::min(later, *change);
       }
     }
     if (later == kNever) return std::nullopt;
@@ -528,9 +581,7 @@
     double score;
     std::size_t machine;
     Span run;
-    bool operator>(const Open& o) const {
-      return next != o.next ? next > o.next : score > o.score;
-    }
+    bool operator>(const Open& o) const { return next != o.next ? next > o.next : score > o.score; }
   };
   std::priority_queue<Open, std::vector<Open>, std::greater<>> opens;
   std::unordered_map<std::size_t, Lane> scratch;
@@ -588,9 +639,8 @@
     auto plan = in(zone);
     if (!plan) continue;
     // The start is what is granted; what it costs decides only between equal ones.
-    const double cost = plan->start() == from ? plan_cost(demand, *plan, zone) +
-                                                    (plan->end() - from).seconds()
-                                              : 0;
+    const double cost =
+        plan->start() == from ? plan_cost(demand, *plan, zone) + (plan->end() - from).seconds() : 0;
     if (!best || plan->start() < best->start() ||
         (plan->start() == best->start() && cost < best_cost)) {
       best = std::move(plan);
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -28,7 +28,8 @@
   Owner owner;
 };
 
-/// One machine, or one team's limit, over time.
+/// One machine, or one team's limit, over time: a function of steps, so that a question walks over
+/// the steps that it touches, once.
 class Lane {
  public:
   explicit Lane(Room whole) : whole_(whole) {}
@@ -41,6 +42,8 @@
   [[nodiscard]] bool takes(const Room& need, Wall from, Wall to) const;
   /// The first moment from `from` on at which `need` fits for `run`.
   [[nodiscard]] std::optional<Wall> next(const Room& need, Wall from, Span run) const;
+  /// The first moment after `at` at which something changes.
+  [[nodiscard]] std::optional<Wall> change_after(Wall at) const;
   /// Quick and certain: what runs at `at` leaves no room for `need`, whatever is reserved.
   [[nodiscard]] bool surely_full(const Room& need, Wall at) const {
     return at < running_until_ && !fits(need, whole_ - running_);
@@ -49,13 +52,21 @@
   [[nodiscard]] const Room& running() const { return running_; }
 
  private:
-  void add_up();
+  /// What is used from `from` to the next step.
+  struct Step {
+    Wall from;
+    Room used;
+  };
+  void add(const Taken& taken, double sign);
+  std::size_t cut_at(Wall at);
+  [[nodiscard]] std::size_t step_at(Wall at) const;
 
   Room whole_;
   std::vector<Taken> taken_;
-  Room total_{};        // of all that is taken, at whatever time
-  Room running_{};      // of what has begun
-  Wall running_until_;  // when the first of that ends
+  std::vector<Step> steps_;  // by time; before the first and after the last nothing is used
+  Room total_{};             // of all that is taken, at whatever time
+  Room running_{};           // of what has begun
+  Wall running_until_;       // when the first of that ends; 0: nothing has begun
 };
 
 struct PlanMachine {
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -53,8 +53,8 @@
 
 namespace {
 
-std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job, const CurrentSlice& current,
-                                    Wall now) {
+std::optional<QueueItem> queue_item(const Uid& uid, const JobRecord& job,
+                                    const CurrentSlice& current, Wall now) {
   const JobSpec& spec = job.spec;
   QueueItem item;
   item.uid = uid;
--- a/src/planner/queueing.hpp
+++ b/src/planner/queueing.hpp
@@ -1,5 +1,5 @@
-// The compression queue as the records give it: which jobs wait, with which tasks, and how they rank.
-// Pure.
+// The compression queue as the records give it: which jobs wait, with which tasks, and how they
+// rank. Pure.
 #pragma once
 
 #include <functional>
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -23,6 +23,13 @@
   return {buffer.GetString(), buffer.GetSize()};
 }
 
+/// The kind of record: what its key has before the last part, without the common prefix.
+std::string kind_of(const std::string& key) {
+  const auto first = key.find('/') + 1;
+  const auto second = key.find('/', first);
+  return key.substr(0, 3) == "mv/" ? key.substr(first, second - first) : key.substr(0, first - 1);
+}
+
 std::string encode_query(const std::string& s) {
   char* encoded = evhttp_encode_uri(s.c_str());
   std::string out = encoded == nullptr ? s : encoded;
@@ -107,7 +114,8 @@
 
 StoreClient::StoreClient(Loop& loop, const Clock& clock, const Address& at, StoreLimits limits,
                          std::size_t nodes)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       limits_(limits),
       http_(loop, at, 6, 64),
       lease_http_(loop, at, 2, 8),
@@ -121,6 +129,7 @@
 void StoreClient::enqueue(Rank rank, HttpCall call, double writes, HttpHandler then) {
   auto& queue = queues_.at(static_cast<std::size_t>(rank));
   if (queue.size() >= kQueueLimit) {
+    meter_.count("store queue full");
     then({0, true, {}});
     return;
   }
@@ -137,6 +146,7 @@
       Job& front = queue.front();
       if (front.expires < now) {
         const HttpHandler expired = std::move(front.then);
+        meter_.count("over the store budget");
         queue.pop_front();
         expired({0, true, {}});
         continue;
@@ -198,14 +208,18 @@
 void StoreClient::commit(Rank rank, Txn txn, std::function<void(CommitResult)> then) {
   const auto writes = static_cast<double>(txn.puts.size() + txn.deletes.size());
   for (const Put& put : txn.puts) {
+    meter_.count("put " + kind_of(put.key));
     if (put.value.size() <= limits_.value_bytes) continue;
     spdlog::error("state service: {} takes {} bytes, more than the limit", put.key,
                   put.value.size());
   }
+  for (const auto& key : txn.deletes) meter_.count("delete " + kind_of(key));
   enqueue(rank, {EVHTTP_REQ_POST, "/commit", write_txn(txn), "application/json", kDeadline}, writes,
-          [then = std::move(then)](const HttpReply& reply) {
+          [this, then = std::move(then)](const HttpReply& reply) {
             CommitResult result;
             result.fate = fate_of(reply);
+            if (reply.status == 429) meter_.count("store said 429");
+            if (result.fate == Fate::conflict) meter_.count("conflicts");
             json::Document doc;
             if ((reply.status == 200 || reply.status == 409) && json::parse(doc, reply.body)) {
               result.revision = Revision(json::count(doc, "ledger_rev").value_or(0));
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -135,6 +135,7 @@
   void enqueue(Rank rank, HttpCall call, double writes, HttpHandler then);
   void pump();
 
+  Meter& meter_;
   const Clock& clock_;
   StoreLimits limits_;
   HttpClient http_;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -101,7 +101,8 @@
 }
 
 Mirror::Mirror(Loop& loop, const Clock& clock, Store& store, std::uint64_t seed)
-    : clock_(clock),
+    : meter_(loop.meter()),
+      clock_(clock),
       store_(store),
       random_(seed),
       backoff_(Span{100}, Span{1000}),
@@ -174,6 +175,7 @@
       case WatchResult::Kind::changes:
         break;
     }
+    const auto timed = meter_.time(Duty::watch);
     for (const Change& change : result.log) apply(change);
     if (result.revision > revision_) revision_ = result.revision;
     std::erase_if(removed_,
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -78,6 +78,7 @@
   void again();
   void index(const SliceRecord& slice, bool add);
 
+  Meter& meter_;
   const Clock& clock_;
   Store& store_;
   std::mt19937_64 random_;
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,67 @@
+// Planning at the size of the largest deployment: its cost as a count of steps, never as time.
+#include "helpers.hpp"
+#include "planner/planner.hpp"
+
+namespace marblevale {
+namespace {
+
+using testing::at;
+using testing::batch;
+using testing::gang;
+using testing::item;
+using testing::machine;
+
+bool never(double) { return false; }
+
+/// 2,400 machines of 4 and 8 GPUs in three zones.
+Profile large_fleet() {
+  Profile p;
+  for (int i = 0; i < 2400; ++i) {
+    const std::string zone(1, static_cast<char>('a' + i % 3));
+    PlanMachine m = machine("vm-" + std::to_string(i), i % 2 == 0 ? 4 : 8, zone);
+    m.build = i % 2 == 0 ? "g4" : "g8";
+    m.spot = i % 5 == 0;
+    p.add_machine(std::move(m));
+  }
+  return p;
+}
+
+std::vector<JobSpec> many_jobs(int count) {
+  std::vector<JobSpec> jobs;
+  constexpr std::array<std::uint32_t, 5> kWidths{1, 2, 4, 8, 16};
+  for (int i = 0; i < count; ++i) {
+    const std::string uid = "req-" + std::to_string(i);
+    if (i % 4 == 0) {
+      jobs.push_back(batch(uid, 60, 1, 60 + i % 50));
+    } else {
+      jobs.push_back(gang(uid, kWidths.at(static_cast<std::size_t>(i) % 5), 4, 80 + i % 70));
+      jobs.back().together = true;
+    }
+    jobs.back().loaners = i % 2 == 0;
+  }
+  return jobs;
+}
+
+TEST(Scale, EveryJobOfALargeQueueIsReservedAtABoundedCost) {
+  const auto jobs = many_jobs(600);
+  std::vector<QueueItem> queue;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    queue.push_back(item(jobs[i], i + 1, static_cast<double>(i) / 100));
+  }
+  Reservations r;
+  Planner planner(large_fleet(), queue, r, at(100), never);
+  EXPECT_TRUE(planner.admit_arrivals());
+  EXPECT_EQ(r.size(), jobs.size());
+  const auto admitted = planner.profile().looked();
+  // A place is looked for among the machines once, not once for each moment: a few lanes per
+  // machine and job, however full the profile is.
+  EXPECT_LT(admitted, 600ULL * 2400 * 8);
+  std::size_t cursor = 0;
+  const auto starts = planner.compress(cursor);
+  EXPECT_EQ(cursor, 0U);
+  EXPECT_GT(starts.size(), 100U);
+  EXPECT_LT(planner.profile().looked() - admitted, 600ULL * 2400 * 8);
+}
+
+}  // namespace
+}  // namespace marblevale
