--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -51,9 +51,7 @@
 
 /// Operators' own settings: flags and variables only.
 struct Tuning {
-  /// Processor time of one round of decisions; 0: what this machine's share of a core gives in half
-  /// a second.
-  Span round_budget{0};
+  Span round_budget{120};  // time of one round of decisions
   Span block_lease{30'000};
   Span session_lease{4'000};
   Span idle_return{90'000};  // a machine idle for this long goes back
@@ -76,12 +74,10 @@
   StoreLimits store;
   double cloud_rps = 1;
   Span list_lag;
-  double core_share = 1;
   double ram_mb = 0;
   int max_sockets = 0;
   Tuning tuning;
 
-  [[nodiscard]] Span round_budget() const;
   [[nodiscard]] const Team* team(const TeamId& name) const;
   [[nodiscard]] std::size_t node_count() const { return peers.size() + 1; }
 };
--- a/src/blocks/grants.cpp
+++ b/src/blocks/grants.cpp
@@ -30,12 +30,24 @@
   timer_.start({0});
 }
 
-std::optional<NodeId> BlockGrants::home(const ZoneId& zone) const {
-  if (settings_.zone == zone) return settings_.node;
+std::optional<NodeId> BlockGrants::home(const ZoneId& zone, const BlockRecord* held) const {
+  // A living controller of the zone, so that a zone that is cut off has its holder inside. The
+  // leader has work enough: it holds a block only where it is the zone's only one.
+  const auto& nodes = mirror_.records().nodes;
+  std::vector<NodeId> there;
+  if (settings_.zone == zone) there.push_back(settings_.node);
   for (const Peer& peer : settings_.peers) {
-    if (peer.zone == zone) return peer.node;
+    if (peer.zone == zone) there.push_back(peer.node);
   }
-  return std::nullopt;
+  std::optional<NodeId> best;
+  for (const NodeId& node : there) {
+    if (!nodes.contains(node)) continue;
+    const auto rank = [&](const NodeId& n) {
+      return std::make_tuple(n == settings_.node, held == nullptr || held->holder != n, n);
+    };
+    if (!best || rank(node) < rank(*best)) best = node;
+  }
+  return best;
 }
 
 std::optional<NodeId> BlockGrants::choose(const ZoneId& zone, const BlockRecord* held) {
@@ -53,10 +65,10 @@
       return witness;
     }
   }
-  const auto home_node = home(zone);
+  const auto home_node = home(zone, held);
   const auto moved = moved_.find(zone);
-  const bool home_welcome = home_node && alive(*home_node) &&
-                            (moved == moved_.end() || now - moved->second > kAwayAfterMove);
+  const bool home_welcome =
+      home_node && (moved == moved_.end() || now - moved->second > kAwayAfterMove);
   if (home_welcome && (!holder_lives || held->holder == *home_node)) return home_node;
   if (home_welcome && now - alive_since_[*home_node].second > kHomeAfter) return home_node;
   if (holder_lives) return held->holder;
--- a/src/blocks/grants.hpp
+++ b/src/blocks/grants.hpp
@@ -22,7 +22,7 @@
  private:
   void tick();
   [[nodiscard]] std::optional<NodeId> choose(const ZoneId& zone, const BlockRecord* held);
-  [[nodiscard]] std::optional<NodeId> home(const ZoneId& zone) const;
+  [[nodiscard]] std::optional<NodeId> home(const ZoneId& zone, const BlockRecord* held) const;
 
   const Clock& clock_;
   const Settings& settings_;
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -24,8 +24,8 @@
 constexpr Span kGatherBriefly{30};  // changes of machines that come together, with budget to spare
 constexpr Span kGather{1'000};      // and without
 // Changes of a slice that can wait for others of its slice when there is no budget to spare.
-constexpr Span kEndsWait{1'500};
-constexpr Span kRunningWait{6'000};
+constexpr Span kEndsWait{4'000};
+constexpr Span kRunningWait{15'000};
 
 }  // namespace
 
@@ -362,7 +362,7 @@
   if (!mirror_.ready()) return;
   const auto timed = meter_.time(Duty::holder);
   take_blocks();
-  const Steady until = clock_.steady() + settings_.round_budget();
+  const Steady until = clock_.steady() + settings_.tuning.round_budget;
   // Slices are taken one by one; what the budget leaves stays in the set for the next round.
   // What a decision adds to the set waits for the next round, too: a commit that is refused at once
   // must not be tried again and again within one round.
@@ -610,10 +610,9 @@
     FinalRecord final_record{key.first, state, job.spec.parts, job.accepted, clock_.wall(), {}};
     if (const auto grant = records.grants.find(key.first); grant != records.grants.end()) {
       final_record.notes = grant->second.record.notes;
-      txn.remove(keys::grant(key.first));
     }
-    txn.put(keys::final_job(key.first), encode(final_record));
-    txn.remove(keys::job(key.first)).remove(keys::slice(key.first, key.second));
+    // The leader sweeps up the slice and the grant when there is budget to spare.
+    txn.put(keys::final_job(key.first), encode(final_record)).remove(keys::job(key.first));
   } else {
     txn.put(keys::slice(key.first, key.second), encode(slice));
   }
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -16,7 +16,7 @@
 constexpr Span kDisplaceEvery{400};
 constexpr std::size_t kMostDisplacing = 3;  // jobs for which room is sought in one round
 constexpr Span kCoalesce{5};
-constexpr Span kWantEvery{1000};
+constexpr Span kWantEvery{2000};
 constexpr Span kSummaryEvery{10'000};
 constexpr Span kSaveMargin{3'000};  // before a machine is taken back
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
@@ -26,6 +26,8 @@
     2'000};                       // a job that has begun by then needs no record of its guarantee
 constexpr Span kRewrite{10'000};  // between two records of one job's guarantee
 constexpr double kPersistSlack = 0.3;
+constexpr double kSweepSlack = 0.6;
+constexpr std::size_t kMostLeft = 1000;
 constexpr Span kPersistLater{5'000};
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};           // a start this near needs no new machine
@@ -112,6 +114,7 @@
   notes_.clear();
   made_room_.clear();
   persisting_ = false;
+  sweeping_ = false;
   cursor_ = 0;
   occupancy_.reset();
   // The stored guarantees are taken as they are; places are found again at those times.
@@ -164,10 +167,14 @@
       [this](const Uid& uid, std::uint32_t number) { return current(uid, number); }, now);
   std::unordered_set<Uid> queued;
   for (const QueueItem& item : queue) queued.insert(item.uid);
-  std::erase_if(reservations_, [&](const auto& entry) { return !queued.contains(entry.first); });
+  std::erase_if(reservations_, [&](const auto& entry) {
+    if (queued.contains(entry.first)) return false;
+    occupancy_.profile().release(owner_of(entry.first));
+    return true;
+  });
   Planner planner(std::move(occupancy_.profile()), std::move(queue), reservations_, now,
                   [this, begin](double share) {
-                    return clock_.steady() - begin > settings_.round_budget() * share;
+                    return clock_.steady() - begin > settings_.tuning.round_budget * share;
                   });
   Pins pins;
   for (const auto& [uid, made] : made_room_) {
@@ -204,10 +211,8 @@
   const std::uint32_t slices = slice_count(job.record.spec);
   std::uint32_t done = 0;
   bool placed = false;
-  std::vector<SliceKey> keys;
   for (auto it = records.slices.lower_bound({uid, 0});
        it != records.slices.end() && it->first.first == uid; ++it) {
-    keys.push_back(it->first);
     if (it->second.record.all_done()) ++done;
     for (const TaskRecord& t : it->second.record.tasks) placed = placed || t.placed();
   }
@@ -225,14 +230,9 @@
   txn.guard(keys::job(uid), job.stamp);
   if (const auto grant = records.grants.find(uid); grant != records.grants.end()) {
     record.notes = grant->second.record.notes;
-    txn.remove(keys::grant(uid));
   }
+  // Its slices and its grant are swept up afterwards.
   txn.put(keys::final_job(uid), encode(record)).remove(keys::job(uid));
-  // The rest of a long job's slices is swept up afterwards.
-  for (const SliceKey& key : keys) {
-    if (txn.puts.size() + txn.deletes.size() >= settings_.store.txn_ops) break;
-    txn.remove(keys::slice(key.first, key.second));
-  }
   mirror_.commit(Rank::granting, std::move(txn),
                  [this, uid](const CommitResult&) { ending_.erase(uid); });
   return true;
@@ -253,6 +253,10 @@
       }
     }
   }
+  // What is left of jobs that are over goes when there is budget to spare, or when it piles up.
+  const std::size_t left = records.slices.size() + records.grants.size();
+  if (mirror_.write_slack() < kSweepSlack && left < 2 * records.jobs.size() + kMostLeft) return;
+  if (sweeping_) return;
   Txn txn;
   election_.guard(txn);
   for (const auto& [key, slice] : records.slices) {
@@ -267,9 +271,9 @@
     if (records.jobs.contains(uid)) continue;
     txn.guard(keys::grant(uid), grant.stamp).remove(keys::grant(uid));
   }
-  if (!txn.deletes.empty()) {
-    mirror_.commit(Rank::granting, std::move(txn), [](const CommitResult&) {});
-  }
+  if (txn.deletes.empty()) return;
+  sweeping_ = true;
+  mirror_.commit(Rank::record, std::move(txn), [this](const CommitResult&) { sweeping_ = false; });
 }
 
 void Granting::stop_tasks(const SliceKey& key,
@@ -478,7 +482,7 @@
       planner.profile().count() - up, free.gpus, whole.gpus, planner.queue().size(), waiting);
 }
 
-void Granting::want_machines(Planner& planner) {
+void Granting::want_machines(const Planner& planner) {
   const auto timed = meter_.time(Duty::want);
   last_want_ = clock_.steady();
   const Wall now = clock_.wall();
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -49,7 +49,7 @@
   std::vector<HostId> make_room(const QueueItem& item, const std::unordered_set<Uid>& guaranteed,
                                 const Profile& profile);
   void summarize(const Planner& planner);
-  void want_machines(Planner& planner);
+  void want_machines(const Planner& planner);
   void persist();
   void note(const Uid& uid, std::string what);
 
@@ -73,6 +73,7 @@
   };
   std::unordered_map<Uid, MadeRoom> made_room_;
   bool persisting_ = false;
+  bool sweeping_ = false;
   Occupancy occupancy_;
   Steady last_persist_{-1'000'000};
   Steady last_displaced_{-1'000'000};
--- a/src/planner/occupancy.cpp
+++ b/src/planner/occupancy.cpp
@@ -74,12 +74,11 @@
   for (const auto& [id, attempt] : placed->second) slices_.insert({id.uid, id.part / kSliceTasks});
 }
 
-void Occupancy::refresh_images(const HostId& host, const Records& records, Wall now) {
+void Occupancy::refresh_images(const HostId& host, const Records& records) {
   const auto machine = profile_.find(host);
   if (!machine) return;
-  const Wall ready = booting_.contains(host) ? booting_.at(host).ready : now;
-  profile_.update_machine(*machine, std::min(ready, profile_.machines()[*machine].ready),
-                          images_at(host, records), fetches_at(host, records));
+  profile_.update_machine(*machine, profile_.machines()[*machine].ready, images_at(host, records),
+                          fetches_at(host, records));
 }
 
 void Occupancy::sync_machine(const HostId& host, const Records& records, Wall now) {
@@ -93,7 +92,8 @@
     wanted.build = m.build;
     wanted.zone = m.zone;
     wanted.spot = m.spot;
-    wanted.ready = now;
+    // Up since long: the present moment would look like a delay at each change.
+    wanted.ready = std::min(now, m.since);
   } else if (coming != booting_.end()) {
     usable = true;
     wanted.build = coming->second.build;
@@ -205,7 +205,7 @@
   }
   for (const HostId& host : machines_) sync_machine(host, records, now);
   for (const SliceKey& key : slices_) sync_slice(key, records, pending, now);
-  for (const HostId& host : fetching_) refresh_images(host, records, now);
+  for (const HostId& host : fetching_) refresh_images(host, records);
   machines_.clear();
   slices_.clear();
   fetching_.clear();
--- a/src/planner/occupancy.hpp
+++ b/src/planner/occupancy.hpp
@@ -60,7 +60,7 @@
   void sync_machine(const HostId& host, const Records& records, Wall now);
   void sync_slice(const SliceKey& key, const Records& records, const Slices& pending, Wall now);
   void touch_tasks_on(const HostId& host, const Records& records);
-  void refresh_images(const HostId& host, const Records& records, Wall now);
+  void refresh_images(const HostId& host, const Records& records);
   [[nodiscard]] std::size_t fetches_at(const HostId& host, const Records& records) const;
 
   Profile profile_;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -16,6 +16,12 @@
 // all of them would cost more than the round has.
 constexpr std::size_t kMostMoved = 6;
 constexpr std::uint64_t kStarted = 1ULL << 63;  // marks the owner of what was started this round
+
+Wall first_of(const Reservation& r) {
+  Wall first = r.start;
+  for (const auto& place : r.places) first = std::min(first, place.start);
+  return first;
+}
 }  // namespace
 
 bool before(const QueueItem& a, const QueueItem& b) {
@@ -97,6 +103,20 @@
     if (pin == pins.end() || !reservations_.contains(item.uid)) continue;
     Demand there = item.demand;
     there.only = pin->second;
+    const Reservation& now = reservations_.at(item.uid);
+    const bool kept = std::all_of(now.places.begin(), now.places.end(), [&](const auto& place) {
+      return std::find(there.only.begin(), there.only.end(), place.host) != there.only.end();
+    });
+    if (kept && now.places.size() == item.demand.tasks && first_of(now) >= now_ &&
+        profile_.intact(item.owner)) {
+      pinned.insert(item.uid);
+      continue;
+    }
+    profile_.release(item.owner);
+    // Others' reservations on these machines give way, and are placed again below.
+    for (const HostId& host : there.only) {
+      if (const auto machine = profile_.find(host)) profile_.release_reservations_on(*machine);
+    }
     const auto plan = profile_.earliest(there, now_);
     if (!plan || plan->start() > reservations_.at(item.uid).start) continue;
     set(item, *plan);
@@ -114,6 +134,12 @@
   });
   for (const QueueItem* item : order) {
     Reservation& r = reservations_.at(item->uid);
+    // Most stand in the profile since an earlier round, and nothing has come in their way.
+    if (r.places.size() == item->demand.tasks && r.start > now_ && first_of(r) >= now_ &&
+        profile_.intact(item->owner)) {
+      continue;
+    }
+    profile_.release(item->owner);
     // Tasks of a slice that have started, or come back, change how many places it needs.
     if (r.places.size() > item->demand.tasks) r.places.resize(item->demand.tasks);
     Plan plan = plan_of(r);
@@ -180,24 +206,24 @@
   }
 }
 
-std::vector<std::pair<const QueueItem*, std::optional<Plan>>> Planner::outlook(std::size_t most) {
+std::vector<std::pair<const QueueItem*, std::optional<Plan>>> Planner::outlook(
+    std::size_t most) const {
   std::vector<std::pair<const QueueItem*, std::optional<Plan>>> out;
-  for (const QueueItem& item : queue_) profile_.release(item.owner);
+  Profile scratch = profile_;
+  for (const QueueItem& item : queue_) scratch.release(item.owner);
   for (const QueueItem& item : queue_) {
     if (item.demand.tasks == 0) continue;
     if (out.size() >= most) break;
-    auto plan = profile_.earliest(item.demand, now_);
-    if (plan) profile_.take(*plan, *item.demand.job, item.owner);
+    auto plan = scratch.earliest(item.demand, now_);
+    if (plan) scratch.take(*plan, *item.demand.job, item.owner);
     out.emplace_back(&item, std::move(plan));
   }
   return out;
 }
 
 Profile Planner::take_profile() {
-  for (const QueueItem& item : queue_) {
-    profile_.release(item.owner);
-    profile_.release(Owner{item.owner.get() | kStarted});
-  }
+  // Reservations stay in it for the next round; what was started will come back as what runs.
+  for (const Owner owner : started_) profile_.release(owner);
   return std::move(profile_);
 }
 
@@ -242,6 +268,7 @@
     profile_.take(s.machine, item.demand.job->crew,
                   {Wall{0}, s.end, item.demand.job->need, Owner{item.owner.get() | kStarted}});
   }
+  started_.push_back(Owner{item.owner.get() | kStarted});
   const auto n = static_cast<std::ptrdiff_t>(plan.spots.size());
   item.parts.erase(item.parts.begin(), item.parts.begin() + n);
   item.demand.tasks -= static_cast<std::uint32_t>(n);
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -80,12 +80,12 @@
   /// 2.2). `cursor` is where the last round stopped; it is 0 when the round is complete.
   std::vector<Start> compress(std::size_t& cursor);
 
-  /// What the queue's first `most` jobs would get if all were placed anew, by priority. The
-  /// reservations stay as they are, but the profile holds this outlook afterwards: the last
-  /// question of a round.
-  std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(std::size_t most);
+  /// What the queue's first `most` jobs would get if all were placed anew, by priority. Nothing is
+  /// changed by asking.
+  [[nodiscard]] std::vector<std::pair<const QueueItem*, std::optional<Plan>>> outlook(
+      std::size_t most) const;
 
-  /// Ends the round: the profile without reservations and starts, as it was given.
+  /// Ends the round: the profile with the reservations, for the next one.
   Profile take_profile();
 
   [[nodiscard]] const Profile& profile() const { return profile_; }
@@ -108,6 +108,7 @@
   Reservations& reservations_;
   Wall now_;
   std::function<bool(double)> spent_;
+  std::vector<Owner> started_;
 };
 
 }  // namespace marblevale
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -130,6 +130,13 @@
   return begin;
 }
 
+bool Lane::intact(Owner owner) const {
+  if (fits(total_, whole_)) return true;
+  return std::all_of(taken_.begin(), taken_.end(), [&](const Taken& t) {
+    return t.owner != owner || takes(Room{}, t.from, t.to);
+  });
+}
+
 std::optional<Wall> Lane::change_after(Wall at) const {
   const auto after = std::upper_bound(steps_.begin(), steps_.end(), at,
                                       [](Wall t, const Step& step) { return t < step.from; });
@@ -185,6 +192,7 @@
 void Profile::remove_machine(std::size_t machine) {
   for (Group& group : groups_) std::erase(group.members, machine);
   index_.erase(machines_[machine].host);
+  break_owners_on(machine);
   lanes_[machine] = Lane(Room{});
   machines_[machine] = PlanMachine{};
   machines_[machine].ready = kNever;
@@ -193,11 +201,16 @@
 
 void Profile::update_machine(std::size_t machine, Wall ready, std::set<ImageId> images,
                              std::size_t fetching) {
+  if (ready > machines_[machine].ready) break_owners_on(machine);
   machines_[machine].ready = ready;
   machines_[machine].images = std::move(images);
   machines_[machine].fetching = fetching;
 }
 
+void Profile::break_owners_on(std::size_t machine) {
+  for (const Taken& t : lanes_[machine].taken()) broken_.insert(t.owner);
+}
+
 void Profile::set_team(const TeamId& team, Room limit) { teams_.emplace_back(team, Lane(limit)); }
 
 std::optional<std::size_t> Profile::find(const HostId& host) const {
@@ -234,6 +247,7 @@
 }
 
 void Profile::release(Owner owner) {
+  broken_.erase(owner);
   if (const auto it = owners_.find(owner); it != owners_.end()) {
     for (const std::size_t lane : it->second) lanes_[lane].release(owner);
     owners_.erase(it);
@@ -244,6 +258,14 @@
   }
 }
 
+void Profile::release_reservations_on(std::size_t machine) {
+  std::vector<Owner> owners;
+  for (const Taken& t : lanes_[machine].taken()) {
+    if (t.from.ms != 0) owners.push_back(t.owner);
+  }
+  for (const Owner owner : owners) release(owner);
+}
+
 bool Profile::allowed(const JobSpec& job, const PlanMachine& machine) {
   if (machine.spot && !job.loaners) return false;
   if (job.district && *job.district != machine.zone) return false;
@@ -260,6 +282,17 @@
                       static_cast<double>(1 + machine.fetching));
 }
 
+bool Profile::intact(Owner owner) const {
+  const auto lanes = owners_.find(owner);
+  const auto limit = team_of_.find(owner);
+  if (lanes == owners_.end() || broken_.contains(owner)) return false;
+  if (limit != team_of_.end() && !teams_[limit->second].second.intact(owner)) return false;
+  return std::all_of(lanes->second.begin(), lanes->second.end(), [&](std::size_t lane) {
+    ++looked_;
+    return lanes_[lane].intact(owner);
+  });
+}
+
 bool Profile::holds(const Plan& plan, const JobSpec& job) const {
   // Quick and strict first: all tasks of the plan that overlap count as if they ran at once.
   const auto strictly = [&] {
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/amounts.hpp"
@@ -42,6 +43,8 @@
   [[nodiscard]] bool takes(const Room& need, Wall from, Wall to) const;
   /// The first moment from `from` on at which `need` fits for `run`.
   [[nodiscard]] std::optional<Wall> next(const Room& need, Wall from, Span run) const;
+  /// True when what the owner has taken fits along with all else.
+  [[nodiscard]] bool intact(Owner owner) const;
   /// The first moment after `at` at which something changes.
   [[nodiscard]] std::optional<Wall> change_after(Wall at) const;
   /// Quick and certain: what runs at `at` leaves no room for `need`, whatever is reserved.
@@ -127,7 +130,11 @@
   void take_team(const TeamId& team, const Taken& taken);
   void take(const Plan& plan, const JobSpec& job, Owner owner);
   void release(Owner owner);
+  /// Of all that have room there for later.
+  void release_reservations_on(std::size_t machine);
 
+  /// True when the owner has taken room, and nowhere is more taken during that time than there is.
+  [[nodiscard]] bool intact(Owner owner) const;
   /// True when the plan still fits as it is.
   [[nodiscard]] bool holds(const Plan& plan, const JobSpec& job) const;
   /// All tasks at exactly `at`: for gangs, or to ask whether a slice can start whole.
@@ -161,6 +168,7 @@
                                const std::optional<ZoneId>& zone) const;
   [[nodiscard]] double score(const Demand& demand, std::size_t machine, Span fetch,
                              const Room& free) const;
+  void break_owners_on(std::size_t machine);
   [[nodiscard]] double price_weight(double share, const PlanMachine& machine) const;
   [[nodiscard]] std::vector<ZoneId> zones() const;
   [[nodiscard]] double plan_cost(const Demand& demand, const Plan& plan, const ZoneId& zone) const;
@@ -175,6 +183,7 @@
   std::vector<std::pair<TeamId, Lane>> teams_;
   std::unordered_map<Owner, std::vector<std::size_t>> owners_;  // lanes where it has taken room
   std::unordered_map<Owner, std::size_t> team_of_;
+  std::unordered_set<Owner> broken_;  // a machine that they counted on is gone, or comes later
   mutable std::uint64_t looked_ = 0;
 };
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -274,17 +274,21 @@
 void StoreClient::commit(Rank rank, Txn txn, std::function<void(CommitResult)> then) {
   const auto writes = static_cast<double>(txn.puts.size() + txn.deletes.size());
   for (const Put& put : txn.puts) {
-    meter_.count("put " + kind_of(put.key));
     if (put.value.size() <= limits_.value_bytes) continue;
     spdlog::error("state service: {} takes {} bytes, more than the limit", put.key,
                   put.value.size());
   }
-  for (const auto& key : txn.deletes) meter_.count("delete " + kind_of(key));
+  std::vector<std::string> kinds;
+  for (const Put& put : txn.puts) kinds.push_back("put " + kind_of(put.key));
+  for (const auto& key : txn.deletes) kinds.push_back("delete " + kind_of(key));
   enqueue(rank, {EVHTTP_REQ_POST, "/commit", write_txn(txn), "application/json", kDeadline}, writes,
-          [this, then = std::move(then)](const HttpReply& reply) {
+          [this, kinds = std::move(kinds), then = std::move(then)](const HttpReply& reply) {
             CommitResult result;
             result.fate = fate_of(reply);
             if (result.fate == Fate::conflict) meter_.count("conflicts");
+            if (result.fate == Fate::done) {
+              for (const std::string& kind : kinds) meter_.count(kind);
+            }
             json::Document doc;
             if ((reply.status == 200 || reply.status == 409) && json::parse(doc, reply.body)) {
               result.revision = Revision(json::count(doc, "ledger_rev").value_or(0));
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kFormat = 1;
-constexpr std::uint64_t kPageFormat = 2;  // 1 was one record for each machine
+constexpr std::uint64_t kSliceFormat = 2;  // 1 had tasks with named fields, 32 to a slice
+constexpr std::uint64_t kPageFormat = 2;   // 1 was one record for each machine
 constexpr std::size_t kMaxNotes = 16;
 constexpr std::size_t kMaxImages = 24;
 
@@ -33,12 +34,6 @@
   return ms.has_value();
 }
 
-bool read_span(const json::Value& v, const char* name, Span& out) {
-  const auto ms = json::integer(v, name);
-  if (ms) out = {*ms};
-  return ms.has_value();
-}
-
 bool read_notes(const json::Value& v, std::vector<Note>& out) {
   const json::Value* notes = json::list(v, "notes");
   if (notes == nullptr) return false;
@@ -54,41 +49,112 @@
 constexpr std::array<const char*, 7> kMachineStates{
     "up", "silent", "suspect", "quarantined", "draining", "deleting", "gone"};
 
-void write_task(json::Writer& out, const TaskRecord& task) {
-  out.open().put("s", static_cast<int>(task.state));
-  if (task.attempt != Attempt{}) out.put("a", task.attempt.get());
+/// What the tasks of a slice share, so that 64 of them fit one value: the first of their times, and
+/// each zone and reason once.
+struct SliceCommon {
+  std::int64_t base = 0;
+  std::vector<std::string> zones;
+  std::vector<std::string> reasons;
+
+  static std::int64_t index(std::vector<std::string>& list, const std::string& text) {
+    const auto it = std::find(list.begin(), list.end(), text);
+    if (it != list.end()) return it - list.begin();
+    list.push_back(text);
+    return static_cast<std::int64_t>(list.size()) - 1;
+  }
+};
+
+// A task is a list: state, attempt, since, progress, faults, last failed on; when it is placed,
+// also zone, host, session, running; when it is to stop, also leeway and reason. Times count from
+// the base, plus one, so that 0 stands for none.
+void write_task(json::Writer& out, const TaskRecord& task, SliceCommon& common) {
+  const auto time = [&](Wall at) { return at.ms == 0 ? 0 : at.ms - common.base + 1; };
+  out.open_list().value(static_cast<int>(task.state)).value(task.attempt.get());
+  out.value(time(task.since)).value(task.progress.ms);
+  out.value(static_cast<std::uint64_t>(task.faults)).value(task.failed_on.get());
   if (task.placed()) {
-    out.put("z", task.zone.get()).put("h", task.host.get());
-    if (task.tenure != Tenure{}) out.put("n", task.tenure.get());
-    if (task.running.ms != 0) out.put("r", task.running.ms);
+    out.value(SliceCommon::index(common.zones, task.zone.get())).value(task.host.get());
+    out.value(task.tenure.get()).value(time(task.running));
+    if (task.stop) {
+      out.value(task.stop->leeway.ms);
+      out.value(SliceCommon::index(common.reasons, task.stop->reason));
+    }
   }
-  if (task.since.ms != 0) out.put("t", task.since.ms);
-  if (task.progress.ms != 0) out.put("p", task.progress.ms);
-  if (task.faults != 0) out.put("f", static_cast<std::uint64_t>(task.faults));
-  if (task.failed_on != HostId{}) out.put("x", task.failed_on.get());
-  if (task.stop) out.put("k", task.stop->leeway.ms).put("w", task.stop->reason);
-  out.close();
+  out.close_list();
 }
 
-bool read_task(const json::Value& v, TaskRecord& task) {
-  const auto state = json::count(v, "s");
-  if (!state || *state > static_cast<std::uint64_t>(TaskState::done)) return false;
-  task.state = static_cast<TaskState>(*state);
-  read(v, "a", task.attempt);
-  if (task.placed()) {
-    if (!read(v, "z", task.zone) || !read(v, "h", task.host)) return false;
-    read(v, "n", task.tenure);
-    read(v, "r", task.running);
+/// The fields of a list in their order; a fault in one is remembered.
+class ListReader {
+ public:
+  explicit ListReader(const json::Value& list) : list_(list) {}
+  [[nodiscard]] bool more() const { return list_.IsArray() && at_ < list_.Size(); }
+  [[nodiscard]] bool ok() const { return ok_; }
+  std::int64_t integer() {
+    if (!more() || !list_[at_].IsInt64()) return fault<std::int64_t>();
+    return list_[at_++].GetInt64();
+  }
+  std::uint64_t count() {
+    if (!more() || !list_[at_].IsUint64()) return fault<std::uint64_t>();
+    return list_[at_++].GetUint64();
+  }
+  std::string text() {
+    if (!more() || !list_[at_].IsString()) return fault<std::string>();
+    return list_[at_++].GetString();
   }
-  read(v, "t", task.since);
-  read_span(v, "p", task.progress);
-  task.faults = static_cast<std::uint32_t>(json::count(v, "f").value_or(0));
-  read(v, "x", task.failed_on);
-  Span leeway;
-  if (read_span(v, "k", leeway)) task.stop = StopOrder{leeway, json::text(v, "w").value_or("")};
+
+ private:
+  template <typename T>
+  T fault() {
+    ok_ = false;
+    return T{};
+  }
+  const json::Value& list_;
+  rapidjson::SizeType at_ = 0;
+  bool ok_ = true;
+};
+
+bool read_task(const json::Value& v, TaskRecord& task, const SliceCommon& common) {
+  ListReader in(v);
+  const auto time = [&](std::int64_t ms) { return Wall{ms == 0 ? 0 : ms + common.base - 1}; };
+  const std::uint64_t state = in.count();
+  if (!in.ok() || state > static_cast<std::uint64_t>(TaskState::done)) return false;
+  task.state = static_cast<TaskState>(state);
+  task.attempt = Attempt(in.count());
+  task.since = time(in.integer());
+  task.progress = Span{in.integer()};
+  task.faults = static_cast<std::uint32_t>(in.count());
+  task.failed_on = HostId(in.text());
+  if (!task.placed()) return in.ok();
+  const std::uint64_t zone = in.count();
+  task.host = HostId(in.text());
+  task.tenure = Tenure(in.count());
+  task.running = time(in.integer());
+  if (!in.ok() || zone >= common.zones.size()) return false;
+  task.zone = ZoneId(common.zones[zone]);
+  if (!in.more()) return true;
+  const Span leeway{in.integer()};
+  const std::uint64_t reason = in.count();
+  if (!in.ok() || reason >= common.reasons.size()) return false;
+  task.stop = StopOrder{leeway, common.reasons[reason]};
   return true;
 }
 
+bool read_texts(const json::Value& v, const char* name, std::vector<std::string>& out) {
+  const json::Value* list = json::list(v, name);
+  if (list == nullptr) return false;
+  for (const auto& item : list->GetArray()) {
+    if (!item.IsString()) return false;
+    out.emplace_back(item.GetString());
+  }
+  return true;
+}
+
+void write_texts(json::Writer& out, const char* name, const std::vector<std::string>& texts) {
+  out.key(name).open_list();
+  for (const std::string& text : texts) out.value(text);
+  out.close_list();
+}
+
 }  // namespace
 
 namespace keys {
@@ -263,26 +329,43 @@
 }
 
 std::string encode(const SliceRecord& r) {
+  SliceCommon common;
+  for (const TaskRecord& task : r.tasks) {
+    for (const Wall at : {task.since, task.running}) {
+      if (at.ms != 0 && (common.base == 0 || at.ms < common.base)) common.base = at.ms;
+    }
+  }
   json::Writer out;
   out.open()
-      .put("v", kFormat)
+      .put("v", kSliceFormat)
       .put("uid", r.uid.get())
       .put("n", static_cast<std::uint64_t>(r.number))
+      .put("base", common.base)
       .key("tasks")
       .open_list();
-  for (const TaskRecord& task : r.tasks) write_task(out, task);
-  out.close_list().close();
+  for (const TaskRecord& task : r.tasks) write_task(out, task, common);
+  out.close_list();
+  write_texts(out, "zones", common.zones);
+  write_texts(out, "reasons", common.reasons);
+  out.close();
   return out.str();
 }
 
 bool decode(const json::Value& v, SliceRecord& out) {
   const json::Value* tasks = json::list(v, "tasks");
   const auto number = json::count(v, "n");
-  if (!known_format(v) || tasks == nullptr || !number || !read(v, "uid", out.uid)) return false;
+  const auto base = json::integer(v, "base");
+  SliceCommon common;
+  if (json::count(v, "v") != kSliceFormat || tasks == nullptr || !number || !base ||
+      !read(v, "uid", out.uid) || !read_texts(v, "zones", common.zones) ||
+      !read_texts(v, "reasons", common.reasons)) {
+    return false;
+  }
+  common.base = *base;
   out.number = static_cast<std::uint32_t>(*number);
   out.tasks.resize(tasks->Size());
   for (rapidjson::SizeType i = 0; i < tasks->Size(); ++i) {
-    if (!read_task((*tasks)[i], out.tasks[i])) return false;
+    if (!read_task((*tasks)[i], out.tasks[i], common)) return false;
   }
   return true;
 }
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -110,7 +110,7 @@
 
 /// Tasks of one slice: the largest number whose record, with a stop and its reason for every task,
 /// stays within the smallest value that a deployment's state service takes (8 KiB).
-inline constexpr std::uint32_t kSliceTasks = 32;
+inline constexpr std::uint32_t kSliceTasks = 64;
 
 struct SliceRecord {
   Uid uid;
