--- a/src/fleet/demand.cpp
+++ b/src/fleet/demand.cpp
@@ -8,7 +8,8 @@
 
 // A new machine must save at least this much waiting beyond its boot.
 constexpr Span kWorthwhile{5'000};
-constexpr std::uint32_t kMostPerRound = 16;
+constexpr std::uint32_t kLeastPerRound = 16;
+constexpr double kPerRound = 0.15;  // of the machines that there are
 
 struct Virtual {
   Offer offer;
@@ -33,6 +34,9 @@
                                             std::map<TeamId, Room> team_room) {
   std::vector<Virtual> rented;
   std::uint32_t total = 0;
+  double known = 0;
+  for (const auto& [zone, n] : in_zone) known += n;
+  const auto most = std::max(kLeastPerRound, static_cast<std::uint32_t>(known * kPerRound));
   const auto zone_load = [&](const ZoneId& zone) {
     const auto it = in_zone.find(zone);
     double n = it == in_zone.end() ? 0 : it->second;
@@ -62,15 +66,15 @@
       if (room != team_room.end() && !fits(w.job->need, room->second)) break;
       Virtual* place = nullptr;
       for (Virtual& v : rented) {
-        if (zone && v.offer.zone != *zone) continue;
+        if (!fits(w.job->need, v.left) || (zone && v.offer.zone != *zone)) continue;
         const bool suits = std::any_of(offers.begin(), offers.end(),
                                        [&](const auto& o) { return o.second == v.offer; });
-        if (suits && fits(w.job->need, v.left)) {
+        if (suits) {
           place = &v;
           break;
         }
       }
-      if (place == nullptr && total < kMostPerRound) {
+      if (place == nullptr && total < most) {
         for (const auto& [cost, offer] : offers) {
           if (zone && offer.zone != *zone) continue;
           const auto type = std::find_if(types.begin(), types.end(), [&](const MachineType& t) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -16,6 +16,7 @@
 constexpr Span kTombstone{120'000};  // longer than any list lags
 constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 50;
+constexpr std::uint32_t kMostHired = 50;  // by one request, as the protocol has it
 constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
 constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
@@ -219,7 +220,13 @@
       wanting_, records.types->record, [this](const Offer& o) { return available(o); }, in_zone,
       team_room_);
   wanting_.clear();
+  std::vector<std::pair<Offer, std::uint32_t>> requests;
   for (const auto& [offer, count] : wanted) {
+    for (std::uint32_t left = count; left > 0; left -= std::min(left, kMostHired)) {
+      requests.emplace_back(offer, std::min(left, kMostHired));
+    }
+  }
+  for (const auto& [offer, count] : requests) {
     HireRecord hire;
     hire.name = "h-" + std::to_string(election_.term().get()) + "-" + std::to_string(++serial_);
     hire.build = offer.build;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -28,6 +28,8 @@
 constexpr double kPersistSlack = 0.3;
 constexpr double kSweepSlack = 0.6;
 constexpr std::size_t kMostLeft = 1000;
+constexpr std::size_t kSmallPiece = 8;
+constexpr Span kPieceEvery{3'000};
 constexpr Span kPersistLater{5'000};
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};           // a start this near needs no new machine
@@ -167,6 +169,7 @@
       [this](const Uid& uid, std::uint32_t number) { return current(uid, number); }, now);
   std::unordered_set<Uid> queued;
   for (const QueueItem& item : queue) queued.insert(item.uid);
+  std::erase_if(last_release_, [&](const auto& entry) { return !queued.contains(entry.first); });
   std::erase_if(reservations_, [&](const auto& entry) {
     if (queued.contains(entry.first)) return false;
     occupancy_.profile().release(owner_of(entry.first));
@@ -188,8 +191,10 @@
   const bool admitted = planner.admit_arrivals();
   // What was started is taken out of the queue by the next round, which sees it as placed.
   const auto starts = planner.compress(cursor_);
-  for (const Start& start : starts) release(start, planner);
-  if (starts.empty() && admitted && cursor_ == 0) displace(planner);
+  for (const Start& start : starts) {
+    if (worth_releasing(start, begin)) release(start, planner);
+  }
+  displace(planner);
   if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
   if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
   persist();
@@ -355,6 +360,20 @@
                  });
 }
 
+bool Granting::worth_releasing(const Start& start, Steady now) {
+  // Each piece of an array costs the same writes, however small it is. Without budget to spare
+  // small pieces wait for others; their room stays theirs until the next round.
+  const auto job = mirror_.records().jobs.find(start.uid);
+  if (job == mirror_.records().jobs.end()) return false;
+  const JobSpec& spec = job->second.record.spec;
+  if (spec.gang() || mirror_.write_slack() > kPersistSlack) return true;
+  const auto last = last_release_.try_emplace(start.uid, Steady{-1'000'000}).first;
+  const bool small = start.parts.size() < std::min<std::size_t>(kSmallPiece, spec.parts);
+  if (small && now - last->second < kPieceEvery) return false;
+  last->second = now;
+  return true;
+}
+
 void Granting::release(const Start& start, const Planner& planner) {
   const auto& records = mirror_.records();
   const auto job = records.jobs.find(start.uid);
@@ -499,7 +518,20 @@
   });
   // Reservations lag behind what has become possible since (holes are kept on purpose), so what is
   // missing is read from the plan that the queue would get if it were laid out anew.
-  for (const auto& [item, plan] : planner.outlook(kMostWanting)) {
+  auto outlook = planner.outlook(kMostWanting);
+  // For jobs further back their reservations must do: to lay out a long queue costs too much.
+  for (std::size_t i = outlook.size(); i < planner.queue().size(); ++i) {
+    const QueueItem& item = planner.queue()[i];
+    if (item.demand.tasks == 0) continue;
+    const auto r = reservations_.find(item.uid);
+    std::optional<Plan> plan;
+    if (r != reservations_.end() && !r->second.places.empty()) {
+      plan.emplace();
+      for (const auto& place : r->second.places) plan->spots.push_back({0, place.start, place.end});
+    }
+    outlook.emplace_back(&item, std::move(plan));
+  }
+  for (const auto& [item, plan] : outlook) {
     const JobSpec& job = *item->demand.job;
     const Lane* limit = planner.profile().team(job.crew);
     const double least = job.gang() ? item->demand.tasks : 1;
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -42,6 +42,7 @@
   void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
+  bool worth_releasing(const Start& start, Steady now);
   void release(const Start& start, const Planner& planner);
   void commit_slices(Txn txn, std::vector<SliceRecord> slices);
   void displace(const Planner& planner);
@@ -72,6 +73,7 @@
     std::vector<HostId> hosts;
   };
   std::unordered_map<Uid, MadeRoom> made_room_;
+  std::unordered_map<Uid, Steady> last_release_;  // of arrays that still wait
   bool persisting_ = false;
   bool sweeping_ = false;
   Occupancy occupancy_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -20,6 +20,7 @@
 constexpr double kStep = 0.04;       // of the published rate, each time
 constexpr double kGiveWay = 0.8;
 constexpr Span kAdaptEvery{500};
+constexpr Span kRefusedLately{3'000};
 
 std::string text_of(const json::Value& v) {
   rapidjson::StringBuffer buffer;
@@ -162,7 +163,9 @@
   for (std::size_t rank = 0; rank <= static_cast<std::size_t>(Rank::submission); ++rank) {
     if (!queues_.at(rank).empty()) return 0;
   }
-  return writes_.filled(clock_.steady());
+  const Steady now = clock_.steady();
+  // Refused a moment ago: the others use what this node's bucket says is there.
+  return now - last_refused_ < kRefusedLately ? 0 : writes_.filled(now);
 }
 
 void StoreClient::enqueue(Rank rank, HttpCall call, double writes, HttpHandler then) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -153,7 +153,7 @@
   std::array<std::deque<Job>, 6> queues_;
   bool short_of_requests_ = false;  // something waited for the budget since the last look
   bool short_of_writes_ = false;
-  Steady last_refused_{};
+  Steady last_refused_{-1'000'000};
   Timer pump_timer_;
   Timer adapt_timer_;
 };
