--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -24,10 +24,21 @@
       grants_(loop, clock, settings, mirror_, election_),
       order_sender_(loop),
       holder_(loop, clock, settings, mirror_, election_, order_sender_),
+      offers_(loop, settings, [this](const ReleaseOffer& offer) { return holder_.take(offer); }),
       admission_(clock, settings, store_, mirror_),
       pulses_(
           loop, clock, settings, [this] { return compose(); },
           [this](const Pulse& pulse) { heard(pulse); }),
+      peers_(loop, settings.peers_at,
+             [this](const HttpRequest& request, const ResponderPtr& responder) {
+               if (request.path == Pulses::kPath) {
+                 pulses_.serve(request, responder);
+               } else if (request.path == Offers::kPath) {
+                 offers_.serve(request, responder);
+               } else {
+                 responder->reply(404, "{}");
+               }
+             }),
       users_(loop, settings.users,
              [this](const HttpRequest& request, ResponderPtr responder) {
                serve(request, std::move(responder));
@@ -35,6 +46,7 @@
       summary_timer_(loop, [this] { summarize(); }) {}
 
 void Service::begin() {
+  granting_.release_through(offers_);
   mirror_.begin();
   election_.begin();
   fleet_.begin();
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -7,6 +7,7 @@
 #include "blocks/holder.hpp"
 #include "election/election.hpp"
 #include "fleet/fleet.hpp"
+#include "peers/offers.hpp"
 #include "peers/pulse.hpp"
 #include "planner/granting.hpp"
 
@@ -38,8 +39,10 @@
   BlockGrants grants_;
   HttpOrderSender order_sender_;
   Holder holder_;
+  Offers offers_;
   Admission admission_;
   Pulses pulses_;
+  HttpServer peers_;
   bool healthy_ = false;
   HttpServer users_;
   Timer summary_timer_;
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
 constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
+constexpr Span kOfferLife{1'200};
+constexpr std::size_t kMostOffers = 200;
 constexpr double kMuchSlack = 0.5;  // of the budget for writes
 constexpr Span kGatherBriefly{30};  // changes of machines that come together, with budget to spare
 constexpr Span kGather{1'000};      // and without
@@ -362,6 +364,14 @@
   if (!mirror_.ready()) return;
   const auto timed = meter_.time(Duty::holder);
   take_blocks();
+  if (warrants_.empty()) {
+    // Nothing here is ours to decide; a block that comes brings all its slices.
+    dirty_.clear();
+    wake_.clear();
+    offers_.clear();
+    return;
+  }
+  retry_offers();
   const Steady until = clock_.steady() + settings_.tuning.round_budget;
   // Slices are taken one by one; what the budget leaves stays in the set for the next round.
   // What a decision adds to the set waits for the next round, too: a commit that is refused at once
@@ -514,6 +524,93 @@
   }
 }
 
+bool Holder::take(const ReleaseOffer& offer) {
+  if (!mirror_.ready()) return false;
+  const Steady now = clock_.steady();
+  if (mirror_.revision().get() >= offer.revision) return bind_offer(offer, now);
+  if (offers_.size() >= kMostOffers) return false;
+  offers_.push_back({offer, now});
+  return true;
+}
+
+void Holder::retry_offers() {
+  std::vector<Kept> kept;
+  kept.swap(offers_);
+  const Steady now = clock_.steady();
+  for (Kept& k : kept) {
+    // The leader turns to the ordinary way when this has lasted too long.
+    if (now - k.since > kOfferLife) continue;
+    if (mirror_.revision().get() >= k.offer.revision) {
+      bind_offer(k.offer, k.since);
+    } else {
+      offers_.push_back(std::move(k));
+    }
+  }
+}
+
+bool Holder::bind_offer(const ReleaseOffer& offer, Steady since) {
+  const auto& records = mirror_.records();
+  const SliceKey key{Uid(offer.uid), offer.slice};
+  const auto job = records.jobs.find(key.first);
+  const auto* stored = records.slice(key.first, key.second);
+  const Stamp over = stored == nullptr ? Stamp{} : stored->stamp;
+  // Whatever this copy lacks or has beyond the leader's, the guards would refuse as well.
+  if (!records.leader || records.leader->stamp.get() != offer.term ||
+      job == records.jobs.end() || job->second.record.cancelled || over.get() != offer.over ||
+      committing_.contains(key) || offer.tasks.empty()) {
+    return false;
+  }
+  const JobSpec& spec = job->second.record.spec;
+  if (key.second >= slice_count(spec)) return false;
+  SliceRecord slice;
+  if (stored != nullptr) {
+    slice = stored->record;
+  } else {
+    slice.uid = key.first;
+    slice.number = key.second;
+    slice.tasks.resize(slice_size(spec, key.second));
+  }
+  std::set<ZoneId> zones;
+  std::unordered_map<HostId, Room> promised;
+  for (const ReleaseOffer::Task& offered : offer.tasks) {
+    const ZoneId zone(offered.zone);
+    if (offered.index >= slice.tasks.size() || holding(zone) != Holding::held) return false;
+    TaskRecord& task = slice.tasks[offered.index];
+    if (task.state != TaskState::idle) return false;
+    task.state = TaskState::released;
+    task.attempt = Attempt(offered.attempt);
+    task.zone = zone;
+    task.host = HostId(offered.host);
+    task.since = clock_.wall();
+    task.running = Wall{};
+    bind(slice, offered.index, task, spec, promised);
+    if (task.state != TaskState::bound) return false;
+    zones.insert(zone);
+  }
+  Txn txn;
+  txn.guard(keys::kLeader, records.leader->stamp);
+  for (const ZoneId& zone : zones) {
+    txn.guard(keys::block(zone), Stamp(warrant_of(zone).get()));
+  }
+  txn.guard(keys::job(key.first), job->second.stamp);
+  txn.guard(keys::slice(key.first, key.second), over);
+  txn.put(keys::slice(key.first, key.second), encode(slice));
+  commit_slice(key, std::move(txn), Kept{offer, since});
+  return true;
+}
+
+void Holder::commit_slice(const SliceKey& key, Txn txn, std::optional<Kept> offered) {
+  committing_.insert(key);
+  mirror_.commit(Rank::binding, std::move(txn), [this, key, offered](const CommitResult& r) {
+    committing_.erase(key);
+    if (offered && r.fate == Fate::refused) offers_.push_back(*offered);
+    // Whatever became of it is decided anew from the records; an unknown commit can't pass twice,
+    // since each is guarded by the slice's own stamp.
+    dirty_.insert(key);
+    if (!round_timer_.pending()) round_timer_.start(r.fate == Fate::done ? kCoalesce : Span{150});
+  });
+}
+
 bool stop_broken_gang(SliceRecord& slice) {
   const bool broken = std::any_of(slice.tasks.begin(), slice.tasks.end(),
                                   [](const TaskRecord& t) { return t.state == TaskState::idle; });
@@ -616,14 +713,7 @@
   } else {
     txn.put(keys::slice(key.first, key.second), encode(slice));
   }
-  committing_.insert(key);
-  mirror_.commit(Rank::binding, std::move(txn), [this, key](const CommitResult& r) {
-    committing_.erase(key);
-    // Whatever became of it is decided anew from the records; an unknown commit can't pass twice,
-    // since each is guarded by the slice's own stamp.
-    dirty_.insert(key);
-    if (!round_timer_.pending()) round_timer_.start(r.fate == Fate::done ? kCoalesce : Span{150});
-  });
+  commit_slice(key, std::move(txn));
   return true;
 }
 
@@ -744,6 +834,8 @@
     return warrant_renewed_.contains(zone) && warrant_renewed_[zone] == now;
   });
 
+  if (warrants_.empty()) return;
+
   // Machines that have stopped reporting. When none of a block reports, the fault may be ours.
   const Span silence = settings_.workers.report * 2.5;
   std::map<ZoneId, std::pair<int, int>> heard;  // of all, how many lately
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -13,6 +13,7 @@
 #include "blocks/proof.hpp"
 #include "election/election.hpp"
 #include "net/http_server.hpp"
+#include "peers/offers.hpp"
 #include "planner/profile.hpp"
 #include "store/machine_writer.hpp"
 #include "store/mirror.hpp"
@@ -53,6 +54,9 @@
 
   void begin();
   HelloAnswer hello(std::string_view body);
+  /// Binds what the leader offers, if all of it can be bound here, as soon as this copy has what the
+  /// leader's had; false: nothing was committed, and nothing will be.
+  bool take(const ReleaseOffer& offer);
 
   /// Zones whose workers come here again and again though another controller holds the block.
   [[nodiscard]] std::vector<ZoneId> complaints();
@@ -76,13 +80,22 @@
     Steady last_introduction{-1'000'000};
   };
 
+  /// An offer that waits for this copy to catch up, or for the state service.
+  struct Kept {
+    ReleaseOffer offer;
+    Steady since;
+  };
+
   void take_blocks();
   void renew_warrant(const ZoneId& zone);
   [[nodiscard]] Holding holding(const ZoneId& zone) const;
   [[nodiscard]] Warrant warrant_of(const ZoneId& zone) const;
+  void retry_offers();
   void round();
   void sweep();
+  bool bind_offer(const ReleaseOffer& offer, Steady since);
   bool decide_slice(const SliceKey& key);
+  void commit_slice(const SliceKey& key, Txn txn, std::optional<Kept> offered = std::nullopt);
   void bind(const SliceRecord& slice, std::size_t index, TaskRecord& task, const JobSpec& job,
             std::unordered_map<HostId, Room>& promised);
   [[nodiscard]] std::optional<HostId> choose_host(const TaskRecord& task, const JobSpec& job,
@@ -110,6 +123,7 @@
   OrderSender& orders_;
   std::map<ZoneId, Warrant> warrants_;  // as of the last take_blocks
   std::unordered_map<HostId, Worker> workers_;
+  std::vector<Kept> offers_;
   std::set<SliceKey> dirty_;
   std::set<SliceKey> committing_;
   std::set<HostId> wake_;            // hosts with orders to send at once
--- /dev/null
+++ b/src/peers/offers.hpp
@@ -0,0 +1,78 @@
+// A release told straight to the block's holder, which binds it in one commit instead of two: the
+// leader's of the release and its own. It only makes things quicker and cheaper: the holder's
+// commit is guarded by the leader's term, the block, the job and the slice as the leader knew it,
+// so it passes only while the release is still meant, and once. Where no word comes back the leader
+// commits the release itself, which the same stamps keep from passing beside the binding.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "net/http_server.hpp"
+#include "store/mirror.hpp"
+
+namespace marblevale {
+
+struct ReleaseOffer {
+  struct Task {
+    std::uint32_t index = 0;  // in the slice
+    std::uint64_t attempt = 0;
+    std::string zone;
+    std::string host;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(index, attempt, zone, host);
+    }
+  };
+  std::uint64_t term = 0;  // stamp of the leader's record
+  std::string uid;
+  std::uint32_t slice = 0;
+  std::uint64_t over = 0;      // stamp of the slice that the leader knew; 0: none
+  std::uint64_t revision = 0;  // what the leader's copy had: a holder that lags waits for it
+  std::vector<Task> tasks;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(term, uid, slice, over, revision, tasks);
+  }
+};
+
+std::string encode(const ReleaseOffer& offer);
+/// Nothing for what can't be read.
+std::optional<ReleaseOffer> decode_offer(const std::string& bytes);
+
+/// What a holder says to an offer. `taken`: it is being tried. `declined`: nothing was committed
+/// and nothing will be.
+enum class OfferFate { taken, declined, unknown };
+
+class OfferChannel {
+ public:
+  virtual ~OfferChannel() = default;
+  virtual void offer(const NodeId& holder, const ReleaseOffer& offer,
+                     std::function<void(OfferFate)> then) = 0;
+};
+
+/// By the peers' addresses; to this controller itself by a call.
+class Offers : public OfferChannel {
+ public:
+  using Take = std::function<bool(const ReleaseOffer&)>;
+  static constexpr const char* kPath = "/release";
+
+  Offers(Loop& loop, const Settings& settings, Take take);
+  void offer(const NodeId& holder, const ReleaseOffer& offer,
+             std::function<void(OfferFate)> then) override;
+  /// A peer's request on `kPath`.
+  void serve(const HttpRequest& request, const ResponderPtr& responder) const;
+
+ private:
+  NodeId self_;
+  Take take_;
+  std::map<NodeId, std::unique_ptr<HttpClient>> peers_;
+};
+
+}  // namespace marblevale
--- a/src/peers/pulse.cpp
+++ b/src/peers/pulse.cpp
@@ -1,9 +1,9 @@
 #include "peers/pulse.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <sstream>
+
+#include "peers/archive.hpp"
 
 namespace marblevale {
 
@@ -11,29 +11,11 @@
 constexpr Span kEvery{1000};
 constexpr Span kDeadline{900};
 constexpr Span kLife{2500};
-constexpr std::size_t kMaxBytes = 16 * 1024;
 }  // namespace
 
-std::string encode(const Pulse& pulse) {
-  std::ostringstream out;
-  cereal::PortableBinaryOutputArchive archive(out);
-  archive(pulse);
-  return out.str();
-}
+std::string encode(const Pulse& pulse) { return to_bytes(pulse); }
 
-std::optional<Pulse> decode_pulse(const std::string& bytes) {
-  if (bytes.size() > kMaxBytes) return std::nullopt;
-  try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
-    Pulse pulse;
-    archive(pulse);
-    return pulse;
-  } catch (const std::exception&) {
-    // A length that lies makes cereal throw or the allocation fail; either way it is refused.
-    return std::nullopt;
-  }
-}
+std::optional<Pulse> decode_pulse(const std::string& bytes) { return from_bytes<Pulse>(bytes); }
 
 Pulses::Pulses(Loop& loop, const Clock& clock, const Settings& settings, Compose compose,
                Heard heard)
@@ -41,26 +23,22 @@
       settings_(settings),
       compose_(std::move(compose)),
       heard_(std::move(heard)),
-      server_(loop, settings.peers_at,
-              [this](const HttpRequest& request, const ResponderPtr& responder) {
-                if (request.path != "/pulse") {
-                  responder->reply(404, "{}");
-                  return;
-                }
-                const auto pulse = decode_pulse(request.body);
-                if (!pulse) {
-                  responder->reply(400, "{}");
-                  return;
-                }
-                heard_(*pulse);
-                responder->reply(200, encode(compose_()));
-              }),
       timer_(loop, [this] { tick(); }) {
   for (const Peer& peer : settings_.peers) {
     peers_[peer.node].client = std::make_unique<HttpClient>(loop, peer.address, 1, 1);
   }
 }
 
+void Pulses::serve(const HttpRequest& request, const ResponderPtr& responder) {
+  const auto pulse = decode_pulse(request.body);
+  if (!pulse) {
+    responder->reply(400, "{}");
+    return;
+  }
+  heard_(*pulse);
+  responder->reply(200, encode(compose_()));
+}
+
 void Pulses::begin() { timer_.start({200}); }
 
 void Pulses::tick() {
@@ -70,7 +48,7 @@
   for (auto& [node, peer] : peers_) {
     if (peer.busy) continue;
     peer.busy = true;
-    peer.client->send({EVHTTP_REQ_POST, "/pulse", body, "application/octet-stream", kDeadline},
+    peer.client->send({EVHTTP_REQ_POST, kPath, body, "application/octet-stream", kDeadline},
                       [this, now, name = node](const HttpReply& reply) {
                         PeerState& state = peers_.at(name);
                         state.busy = false;
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -32,11 +32,14 @@
 
 class Pulses {
  public:
+  static constexpr const char* kPath = "/pulse";
   using Compose = std::function<Pulse()>;
   using Heard = std::function<void(const Pulse&)>;
 
   Pulses(Loop& loop, const Clock& clock, const Settings& settings, Compose compose, Heard heard);
   void begin();
+  /// A peer's request on `kPath`.
+  void serve(const HttpRequest& request, const ResponderPtr& responder);
 
   /// True when some peer said within the last seconds that the state service answers it.
   [[nodiscard]] bool peer_has_state() const;
@@ -58,7 +61,6 @@
   Compose compose_;
   Heard heard_;
   std::map<NodeId, PeerState> peers_;
-  HttpServer server_;
   Timer timer_;
 };
 
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -29,6 +29,7 @@
 constexpr double kSweepSlack = 0.6;
 constexpr std::size_t kMostLeft = 1000;
 constexpr std::size_t kSmallPiece = 8;
+constexpr Span kOfferPatience{2'000};
 constexpr Span kPieceEvery{3'000};
 constexpr Span kPersistLater{5'000};
 constexpr std::size_t kMostWanting = 30;
@@ -112,6 +113,7 @@
   reservations_.clear();
   pending_.clear();
   unknown_.clear();
+  offered_.clear();
   ending_.clear();
   notes_.clear();
   made_room_.clear();
@@ -155,6 +157,7 @@
   });
   if (!mirror_.records().types) return;  // nothing is known of what machines there are
 
+  pursue_offers();
   std::vector<std::pair<Txn, std::vector<SliceRecord>>> again;
   again.swap(unknown_);
   for (auto& [txn, slices] : again) commit_slices(std::move(txn), std::move(slices));
@@ -333,7 +336,8 @@
 
 void Granting::commit_slices(Txn txn, std::vector<SliceRecord> slices) {
   for (const SliceRecord& slice : slices) {
-    pending_[{slice.uid, slice.number}] = {slice, std::nullopt, std::nullopt};
+    Pending& pending = pending_[{slice.uid, slice.number}];
+    pending = {slice, std::nullopt, std::nullopt, pending.offered};
   }
   auto kept = std::make_shared<Txn>(txn);
   const Stamp term = term_;
@@ -350,6 +354,9 @@
                      auto& pending = pending_[{slice.uid, slice.number}];
                      if (r.fate == Fate::done || r.fate == Fate::conflict) {
                        pending.until = r.revision;  // the mirror must catch up first
+                     } else if (pending.offered) {
+                       // A holder may still bind it: only a definite answer ends that.
+                       unknown_.push_back({*kept, slices});
                      } else {
                        // Not executed. Not tried again at once: the state service may be refusing
                        // this node for a while.
@@ -423,12 +430,81 @@
   spdlog::debug("granting: {} releases {} of {} tasks, the first to {}", start.uid.get(),
                 start.parts.size(), spec.parts,
                 planner.profile().machines()[start.plan.spots[0].machine].host.get());
+  const auto holder = one_holder(start, planner);
+  if (holder && slices.size() == 1) {
+    const auto* stored = records.slice(start.uid, slices[0].number);
+    const Stamp over = stored == nullptr ? Stamp{} : stored->stamp;
+    offer(*holder, {std::move(txn), std::move(slices[0]), over, clock_.steady()}, start);
+    return;
+  }
   commit_slices(std::move(txn), std::move(slices));
 }
 
+std::optional<NodeId> Granting::one_holder(const Start& start, const Planner& planner) const {
+  if (channel_ == nullptr) return std::nullopt;
+  const auto& records = mirror_.records();
+  std::optional<NodeId> holder;
+  for (const Spot& spot : start.plan.spots) {
+    const auto block = records.blocks.find(planner.profile().machines()[spot.machine].zone);
+    if (block == records.blocks.end()) return std::nullopt;
+    const BlockRecord& held = block->second.record;
+    if (!records.alive(held.holder, held.nonce) || (holder && *holder != held.holder)) {
+      return std::nullopt;
+    }
+    holder = held.holder;
+  }
+  return holder;
+}
+
+void Granting::offer(const NodeId& holder, Offered offered, const Start& start) {
+  const SliceKey key{offered.slice.uid, offered.slice.number};
+  ReleaseOffer message;
+  message.term = term_.get();
+  message.uid = key.first.get();
+  message.slice = key.second;
+  message.over = offered.over.get();
+  message.revision = mirror_.revision().get();
+  for (const std::uint32_t part : start.parts) {
+    const std::uint32_t index = part % kSliceTasks;
+    const TaskRecord& task = offered.slice.tasks.at(index);
+    message.tasks.push_back({index, task.attempt.get(), task.zone.get(), task.host.get()});
+  }
+  pending_[key] = {offered.slice, std::nullopt, std::nullopt, true};
+  offered_.insert_or_assign(key, std::move(offered));
+  channel_->offer(holder, message, [this, key, term = term_](OfferFate fate) {
+    if (term_ != term || state_ != State::leading || fate != OfferFate::declined) return;
+    // Nothing was committed and nothing will be.
+    meter_.count("offers declined");
+    offered_.erase(key);
+    if (const auto it = pending_.find(key); it != pending_.end()) {
+      it->second.retry = clock_.steady() + kRefusedPause;
+    }
+  });
+}
+
+void Granting::pursue_offers() {
+  const Steady now = clock_.steady();
+  for (auto it = offered_.begin(); it != offered_.end();) {
+    const auto* stored = mirror_.records().slice(it->first.first, it->first.second);
+    const Stamp stamp = stored == nullptr ? Stamp{} : stored->stamp;
+    if (stamp != it->second.over) {
+      // Bound, or something else has changed: then the offer can't be bound any more.
+      pending_.erase(it->first);
+      it = offered_.erase(it);
+    } else if (now - it->second.at > kOfferPatience) {
+      meter_.count("offers without an answer");
+      unknown_.push_back({std::move(it->second.release), {it->second.slice}});
+      it = offered_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 void Granting::displace(const Planner& planner) {
   const Steady now = clock_.steady();
-  if (now - last_displaced_ < kDisplaceEvery) return;
+  // To look through all that runs takes long in a large fleet: at most a tenth of the time.
+  if (now - last_displaced_ < std::max(kDisplaceEvery, displace_took_ * 10.0)) return;
   const auto timed = meter_.time(Duty::displace);
   last_displaced_ = now;
   const auto guaranteed = guaranteed_jobs(mirror_.records(), settings_);
@@ -445,9 +521,10 @@
     const auto hosts = make_room(item, guaranteed, planner.profile());
     if (!hosts.empty()) {
       made_room_[item.uid] = {now, hosts};
-      return;  // the next round sees what it freed
+      break;  // the next round sees what it freed
     }
   }
+  displace_took_ = clock_.steady() - now;
   std::erase_if(made_room_,
                 [&](const auto& entry) { return now - entry.second.at > Span{60'000}; });
 }
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -11,6 +11,7 @@
 #include "app/settings.hpp"
 #include "election/election.hpp"
 #include "fleet/fleet.hpp"
+#include "peers/offers.hpp"
 #include "planner/occupancy.hpp"
 #include "planner/planner.hpp"
 #include "store/mirror.hpp"
@@ -23,13 +24,22 @@
            Election& election, Fleet& fleet);
 
   void begin();
+  /// Releases go to holders by this as well; without it they are committed first.
+  void release_through(OfferChannel& channel) { channel_ = &channel; }
 
  private:
   enum class State { idle, leading };
+  struct Offered {
+    Txn release;  // committed when the holder does not bind it in time
+    SliceRecord slice;
+    Stamp over;  // the slice as it was
+    Steady at;
+  };
   struct Pending {
     SliceRecord slice;
     std::optional<Revision> until;  // kept until the mirror has this
     std::optional<Steady> retry;    // it was refused: kept until then
+    bool offered = false;           // a holder may bind it: kept until its slice has changed
   };
 
   void transition(State next);
@@ -44,6 +54,9 @@
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
   bool worth_releasing(const Start& start, Steady now);
   void release(const Start& start, const Planner& planner);
+  [[nodiscard]] std::optional<NodeId> one_holder(const Start& start, const Planner& planner) const;
+  void offer(const NodeId& holder, Offered offered, const Start& start);
+  void pursue_offers();
   void commit_slices(Txn txn, std::vector<SliceRecord> slices);
   void displace(const Planner& planner);
   /// Stops tasks so that the job can start; the machines on which that made room.
@@ -66,6 +79,8 @@
   std::size_t cursor_ = 0;
   std::map<SliceKey, Pending> pending_;
   std::vector<std::pair<Txn, std::vector<SliceRecord>>> unknown_;  // commits without an answer
+  std::map<SliceKey, Offered> offered_;
+  OfferChannel* channel_ = nullptr;
   std::set<Uid> ending_;
   std::unordered_map<Uid, std::vector<Note>> notes_;  // not yet in the state service
   struct MadeRoom {
@@ -78,6 +93,7 @@
   bool sweeping_ = false;
   Occupancy occupancy_;
   Steady last_persist_{-1'000'000};
+  Span displace_took_{};
   Steady last_displaced_{-1'000'000};
   Steady timer_due_{};
   Steady round_over_{};
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -17,9 +17,12 @@
 // work: the leader and busy holders get what idle nodes leave. 429 is safe: it was not executed.
 constexpr double kMostShare = 0.75;
 constexpr double kLeastShare = 0.5;  // of the equal share
-constexpr double kStep = 0.04;       // of the published rate, each time
-constexpr double kGiveWay = 0.8;
+constexpr double kStep = 0.025;      // of the published rate, each time
+constexpr double kGiveWay = 0.75;
 constexpr Span kAdaptEvery{500};
+constexpr double kSubmissionShare = 0.6;  // of a node's writes: bindings must not starve
+constexpr Span kAgainAfter{40};
+constexpr int kAgain = 3;
 constexpr Span kRefusedLately{3'000};
 
 std::string text_of(const json::Value& v) {
@@ -127,6 +130,7 @@
       watch_http_(loop, at, 1, 2),
       requests_(equal_share(limits.rps), equal_share(limits.rps)),
       writes_(equal_share(limits.write_rps), equal_share(limits.write_rps)),
+      submissions_(writes_.rate() * kSubmissionShare, writes_.rate() * kSubmissionShare),
       pump_timer_(loop, [this] { pump(); }),
       adapt_timer_(loop, [this] { adapt(); }) {
   adapt_timer_.start(kAdaptEvery);
@@ -143,6 +147,7 @@
   };
   if (short_of_requests_) more(requests_, limits_.rps);
   if (short_of_writes_) more(writes_, limits_.write_rps);
+  submissions_.set_rate(writes_.rate() * kSubmissionShare);
   short_of_requests_ = short_of_writes_ = false;
 }
 
@@ -160,7 +165,7 @@
 }
 
 double StoreClient::write_slack() {
-  for (std::size_t rank = 0; rank <= static_cast<std::size_t>(Rank::submission); ++rank) {
+  for (std::size_t rank = 0; rank <= static_cast<std::size_t>(Rank::granting); ++rank) {
     if (!queues_.at(rank).empty()) return 0;
   }
   const Steady now = clock_.steady();
@@ -181,18 +186,18 @@
     for (std::size_t before = 0; before <= static_cast<std::size_t>(rank); ++before) {
       for (const Job& job : queues_.at(before)) ahead += job.writes;
     }
-    if (writes_.wait(clock_.steady(), ahead) > kUserQueueTime) {
+    const Steady now = clock_.steady();
+    if (!submissions_.take(now, writes) || writes_.wait(now, ahead) > kUserQueueTime) {
       short_of_writes_ = true;
       meter_.count("submissions over the budget");
       then({0, true, {}});
       return;
     }
   }
-  queue.push_back(
-      {std::move(call), writes,
-       clock_.steady() +
-           (rank == Rank::submission || rank == Rank::read ? kUserQueueTime * 2.0 : kQueueTime),
-       std::move(then)});
+  const bool hurried = rank == Rank::submission || rank == Rank::read;
+  queue.push_back({std::move(call), writes,
+                   clock_.steady() + (hurried ? kUserQueueTime * 2.0 : kQueueTime),
+                   std::move(then), rank == Rank::submission ? kAgain : 0});
   pump();
 }
 
@@ -225,16 +230,30 @@
       if (front.writes > 0) writes_.take(now, front.writes);
       Job job = std::move(front);
       queue.pop_front();
-      const bool writes = job.writes > 0;
-      http_.send(std::move(job.call),
-                 [this, writes, then = std::move(job.then)](const HttpReply& reply) {
-                   if (reply.status == 429) give_way(writes);
-                   then(reply);
-                 });
+      send(std::move(job));
     }
   }
 }
 
+void StoreClient::send(Job job) {
+  auto kept = std::make_shared<Job>(std::move(job));
+  http_.send(kept->call, [this, kept](const HttpReply& reply) {
+    if (reply.status != 429) {
+      kept->then(reply);
+      return;
+    }
+    give_way(kept->writes > 0);
+    if (kept->again == 0) {
+      kept->then(reply);
+      return;
+    }
+    // It was not executed, and a user waits: once more, when the others have spent their bursts.
+    --kept->again;
+    queues_.at(static_cast<std::size_t>(Rank::submission)).push_front(std::move(*kept));
+    if (!pump_timer_.pending()) pump_timer_.start(kAgainAfter);
+  });
+}
+
 void StoreClient::read(const std::string& key, std::function<void(ReadResult)> then) {
   enqueue(Rank::read, {EVHTTP_REQ_GET, "/store/" + key, {}, "application/json", kDeadline}, 0,
           [then = std::move(then)](const HttpReply& reply) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -93,9 +93,9 @@
   std::size_t nodes = 3;  // that share the rates
 };
 
-/// Classes of requests, the most important first.
+/// Classes of requests, the most important first. Submissions go before bindings, within a share.
 /// `record`: what only quality depends on, dropped under pressure.
-enum class Rank { lease, binding, granting, submission, read, record };
+enum class Rank { lease, submission, binding, granting, read, record };
 
 /// The interface that the slices use, so that tests can script the state service.
 class Store {
@@ -135,7 +135,9 @@
     double writes = 0;
     Steady expires;
     HttpHandler then;
+    int again = 0;  // how often it may be repeated when the service is over its rate
   };
+  void send(Job job);
   void enqueue(Rank rank, HttpCall call, double writes, HttpHandler then);
   void pump();
   [[nodiscard]] double equal_share(double rate) const;
@@ -150,6 +152,7 @@
   HttpClient watch_http_;
   TokenBucket requests_;
   TokenBucket writes_;
+  TokenBucket submissions_;
   std::array<std::deque<Job>, 6> queues_;
   bool short_of_requests_ = false;  // something waited for the budget since the last look
   bool short_of_writes_ = false;
