--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -169,7 +169,8 @@
   occupancy_.sync(mirror_.records(), settings_.teams, ahead, fleet_.booting(), now);
   auto queue = build_queue(
       mirror_.records(), settings_,
-      [this](const Uid& uid, std::uint32_t number) { return current(uid, number); }, now);
+      [this](const Uid& uid, std::uint32_t number) { return current(uid, number); }, now,
+      mirror_.write_slack() < kPersistSlack);
   std::unordered_set<Uid> queued;
   for (const QueueItem& item : queue) queued.insert(item.uid);
   std::erase_if(last_release_, [&](const auto& entry) { return !queued.contains(entry.first); });
@@ -195,7 +196,8 @@
   // What was started is taken out of the queue by the next round, which sees it as placed.
   const auto starts = planner.compress(cursor_);
   for (const Start& start : starts) {
-    if (worth_releasing(start, begin)) release(start, planner);
+    if (!worth_releasing(start, begin)) continue;
+    release(mirror_.write_slack() > kPersistSlack ? start : of_one_zone(start, planner), planner);
   }
   displace(planner);
   if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
@@ -381,6 +383,25 @@
   return true;
 }
 
+Start Granting::of_one_zone(const Start& start, const Planner& planner) const {
+  // The part of an array's start that one holder can bind; the rest has its turn in the next round.
+  const auto job = mirror_.records().jobs.find(start.uid);
+  if (job == mirror_.records().jobs.end() || job->second.record.spec.gang()) return start;
+  const auto& machines = planner.profile().machines();
+  std::map<ZoneId, std::size_t> counts;
+  for (const Spot& s : start.plan.spots) ++counts[machines[s.machine].zone];
+  const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) {
+    return a.second < b.second;
+  });
+  Start part{start.uid, {}, {}};
+  for (std::size_t i = 0; i < start.parts.size(); ++i) {
+    if (machines[start.plan.spots[i].machine].zone != most->first) continue;
+    part.plan.spots.push_back(start.plan.spots[i]);
+    part.parts.push_back(start.parts[i]);
+  }
+  return part;
+}
+
 void Granting::release(const Start& start, const Planner& planner) {
   const auto& records = mirror_.records();
   const auto job = records.jobs.find(start.uid);
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -92,6 +92,7 @@
   Span run;                    // estimated run time of each
   std::vector<HostId> only;    // if given: no other machines
   std::optional<ZoneId> zone;  // where the job's other tasks are, if `together`
+  std::optional<ZoneId> lean;  // where to go among equals: one zone costs fewer writes
   std::vector<std::pair<ZoneId, std::uint32_t>> elsewhere;  // placed tasks per zone, for `spread`
 };
 
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -134,7 +134,7 @@
 }  // namespace
 
 std::vector<QueueItem> build_queue(const Records& records, const Settings& settings,
-                                   const CurrentSlice& current, Wall now) {
+                                   const CurrentSlice& current, Wall now, bool gather) {
   const auto guaranteed = guaranteed_jobs(records, settings);
   std::vector<QueueItem> queue;
   for (const auto& [uid, job] : records.jobs) {
@@ -143,6 +143,17 @@
     if (!item) continue;
     item->guaranteed = guaranteed.contains(uid);
     set_target(*item, job.record.spec, settings, now);
+    if (gather && !job.record.spec.gang()) {
+      // Where most of it is; a new one anywhere, decided by its name, so that no zone is favoured.
+      const auto& there = item->demand.elsewhere;
+      const auto most = std::max_element(there.begin(), there.end(), [](const auto& a, const auto& b) {
+        return a.second < b.second;
+      });
+      item->demand.lean =
+          most != there.end()
+              ? most->first
+              : settings.zones[std::hash<Uid>{}(uid) % settings.zones.size()];
+    }
     queue.push_back(std::move(*item));
   }
   return queue;
--- a/src/planner/queueing.hpp
+++ b/src/planner/queueing.hpp
@@ -21,7 +21,8 @@
 /// Jobs that fit into their team's guarantee along with the team's earlier unfinished jobs.
 std::unordered_set<Uid> guaranteed_jobs(const Records& records, const Settings& settings);
 
+/// `gather`: arrays keep to one zone where they can, since each holder's binding is a write.
 std::vector<QueueItem> build_queue(const Records& records, const Settings& settings,
-                                   const CurrentSlice& current, Wall now);
+                                   const CurrentSlice& current, Wall now, bool gather);
 
 }  // namespace marblevale
