--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
 constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
+constexpr double kUnheardReports = 2.5;  // reports after which a start must show
 constexpr Span kOfferLife{1'200};
 constexpr std::size_t kMostOffers = 200;
 constexpr double kMuchSlack = 0.5;  // of the budget for writes
@@ -230,24 +231,42 @@
   const Warrant warrant = warrant_of(report->district);
   if (report->warrant > warrant) return {421, "{}"};  // another holds the block by now
 
-  Worker& worker = workers_[report->host];
+  const auto [entry, unheard_of] = workers_.try_emplace(report->host);
+  Worker& worker = entry->second;
+  if (unheard_of) worker.heard = now;
   worker.zone = report->district;
-  worker.heard = now;
-  worker.introduced = warrant;
+  // A copy of an old report may come as late as it likes: what is not newer than what is known of
+  // the worker changes nothing. A holder that has just begun knows nothing yet; then only a report
+  // that has seen our warrant shows that it was sent since.
   const bool newer = absorb(worker, *report);
   if (!newer) return {200, write_answer(warrant, {})};
-  note_machine(*report, worker);
+  worker.answered = now;
+  if (report->warrant == warrant) {
+    worker.heard = now;
+    if (!worker.deaf) worker.introduced = warrant;
+    note_machine(*report, worker);
+  } else if (worker.introduced != warrant) {
+    wake_.insert(report->host);  // the introduction tells whether it hears
+    if (!round_timer_.pending()) round_timer_.start(kCoalesce);
+  }
   auto orders = orders_for(report->host, worker, true);
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.answered_starts[{order.id, order.attempt}] = report->tally;
+      worker.starts.try_emplace({order.id, order.attempt}, now);
     }
   }
   return {200, write_answer(warrant, orders)};
 }
 
 bool Holder::absorb(Worker& worker, const Report& report) {
+  const Tenure before = worker.view.tenure;
   if (!worker.view.take(report)) return false;
+  // Its lease has lapsed though its reports were answered: nothing that is said to it arrives.
+  if (before != Tenure{} && report.tenure > before &&
+      clock_.steady() - worker.answered < settings_.workers.lease) {
+    mark_deaf(report.host, worker, "its lease lapsed though it was answered");
+  }
   worker.view.prune();
   worker.recall.reset();
   if (report.recall) worker.recall = clock_.wall() + *report.recall;
@@ -277,6 +296,31 @@
   return true;
 }
 
+void Holder::mark_deaf(const HostId& host, Worker& worker, const char* why) {
+  if (!worker.deaf) spdlog::info("holder: {} does not hear: {}", host.get(), why);
+  worker.deaf = true;
+  worker.introduced = Warrant{};
+}
+
+void Holder::look_for_deaf(const HostId& host, Worker& worker) {
+  // It reports, but a start that was sent to it again and again does not show.
+  const Steady now = clock_.steady();
+  bool unheard = false;
+  for (const auto& [key, since] : worker.starts) {
+    unheard = unheard || (now - since > settings_.workers.report * kUnheardReports &&
+                          !worker.view.tasks.contains(key));
+  }
+  if (unheard && now - worker.heard < settings_.workers.report * 2.0) {
+    mark_deaf(host, worker, "its starts do not show");
+  }
+  std::erase_if(worker.starts, [&](const auto& entry) {
+    const TaskRecord* task = mirror_.records().task(entry.first.first);
+    return task == nullptr || task->state != TaskState::bound || task->host != host ||
+           task->attempt != entry.first.second || worker.view.tasks.contains(entry.first);
+  });
+  if (worker.deaf) put_machine(host, MachineState::silent, "reports, but does not hear");
+}
+
 void Holder::note_machine(const Report& report, Worker& worker) {
   const auto it = mirror_.records().machines.find(report.host);
   if (it == mirror_.records().machines.end()) {
@@ -301,7 +345,7 @@
   const MachineRecord& record = it->second.record;
   if (worker.recall && (record.state == MachineState::up || record.state == MachineState::silent)) {
     put_machine(report.host, MachineState::draining, "the cloud takes it back");
-  } else if (record.state == MachineState::silent) {
+  } else if (record.state == MachineState::silent && !worker.deaf) {
     put_machine(report.host, MachineState::up, "reports again");
   }
 }
@@ -399,7 +443,11 @@
   const auto worker = workers_.find(host);
   if (machine == records.machines.end() || worker == workers_.end()) return false;
   if (machine->second.record.state != MachineState::up || worker->second.recall) return false;
-  if (worker->second.view.tenure == Tenure{}) return false;  // not heard from under this warrant
+  // Nothing is bound to a machine that has not shown, under this warrant, that it hears us.
+  if (worker->second.view.tenure == Tenure{} || worker->second.deaf ||
+      worker->second.introduced == Warrant{}) {
+    return false;
+  }
   const MachineType* type = records.type(machine->second.record.build);
   if (type == nullptr) return false;
   PlanMachine rules;
@@ -555,9 +603,9 @@
   const auto* stored = records.slice(key.first, key.second);
   const Stamp over = stored == nullptr ? Stamp{} : stored->stamp;
   // Whatever this copy lacks or has beyond the leader's, the guards would refuse as well.
-  if (!records.leader || records.leader->stamp.get() != offer.term ||
-      job == records.jobs.end() || job->second.record.cancelled || over.get() != offer.over ||
-      committing_.contains(key) || offer.tasks.empty()) {
+  if (!records.leader || records.leader->stamp.get() != offer.term || job == records.jobs.end() ||
+      job->second.record.cancelled || over.get() != offer.over || committing_.contains(key) ||
+      offer.tasks.empty()) {
     return false;
   }
   const JobSpec& spec = job->second.record.spec;
@@ -792,6 +840,7 @@
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.direct_starts[{order.id, order.attempt}] = warrant;
+      worker.starts.try_emplace({order.id, order.attempt}, clock_.steady());
     }
   }
   worker.direct_busy = true;
@@ -800,7 +849,10 @@
                  const auto it = workers_.find(host);
                  if (it == workers_.end()) return;
                  it->second.direct_busy = false;
-                 if (reply.status == 200) it->second.introduced = warrant;
+                 if (reply.status == 200) {
+                   it->second.introduced = warrant;
+                   it->second.deaf = false;
+                 }
                  if (reply.status == 200 || reply.status == 409) {
                    const auto report = parse_report(reply.body);
                    if (report && holding(it->second.zone) == Holding::held) {
@@ -865,6 +917,7 @@
   });
   for (auto& [host, worker] : workers_) {
     if (worker.introduced == Warrant{}) wake_.insert(host);
+    look_for_deaf(host, worker);
   }
   keep_images();
   if (!flush_timer_.pending()) machines_.flush();
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -54,8 +54,8 @@
 
   void begin();
   HelloAnswer hello(std::string_view body);
-  /// Binds what the leader offers, if all of it can be bound here, as soon as this copy has what the
-  /// leader's had; false: nothing was committed, and nothing will be.
+  /// Binds what the leader offers, if all of it can be bound here, as soon as this copy has what
+  /// the leader's had; false: nothing was committed, and nothing will be.
   bool take(const ReleaseOffer& offer);
 
   /// Zones whose workers come here again and again though another controller holds the block.
@@ -71,12 +71,14 @@
     ZoneId zone;
     Steady heard;
     bool direct_busy = false;
-    std::vector<Order> direct_queue;
     std::map<std::pair<TaskId, Attempt>, Steady> kills;  // last sent
     std::optional<Wall> recall;
     std::vector<std::pair<ImageId, double>> images;  // seen in use, as in the machine's record
     bool images_changed = false;
-    Warrant introduced;  // the warrant under which it is known to have heard of us
+    Warrant introduced;  // the warrant under which it is known to have heard of us; 0: not known
+    bool deaf = false;   // it reports, but nothing that is said to it arrives
+    Steady answered{-1'000'000};                          // its last report that was
+    std::map<std::pair<TaskId, Attempt>, Steady> starts;  // sent and not seen yet, since when
     Steady last_introduction{-1'000'000};
   };
 
@@ -109,6 +111,8 @@
   void direct(const HostId& host);
   void send_direct(const HostId& host, Worker& worker, std::vector<Order> orders);
   bool absorb(Worker& worker, const Report& report);
+  void mark_deaf(const HostId& host, Worker& worker, const char* why);
+  void look_for_deaf(const HostId& host, Worker& worker);
   void note_machine(const Report& report, Worker& worker);
   void put_machine(const HostId& host, MachineState state, const char* why, Uid blamed = {});
   void keep_images();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -13,8 +13,9 @@
 constexpr Span kTypesEvery{60'000};
 constexpr Span kFirstRefusal{8'000};
 constexpr Span kMostRefusal{40'000};
-constexpr Span kTombstone{120'000};  // longer than any list lags
-constexpr double kNeverUp = 3.0;     // boot times after which a machine is given up
+// Longer than any list lags, and than copies of a machine's reports come late.
+constexpr Span kTombstone{180'000};
+constexpr double kNeverUp = 3.0;  // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 50;
 constexpr std::uint32_t kMostHired = 50;  // by one request, as the protocol has it
 constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
@@ -262,6 +263,11 @@
     record.spot = listed->second.machine.spot;
   } else {
     record.host = host;
+    if (const auto placed = mirror_.records().placed.find(host);
+        placed != mirror_.records().placed.end()) {
+      const TaskRecord* task = mirror_.records().task(placed->second.begin()->first);
+      if (task != nullptr) record.zone = task->zone;
+    }
     for (const auto& [name, hire] : mirror_.records().hires) {
       const auto& hosts = hire.record.hosts;
       if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) continue;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -14,6 +14,8 @@
 constexpr Span kTick{500};
 constexpr Span kRoundEvery{60};  // what changes within this is planned together
 constexpr Span kDisplaceEvery{400};
+constexpr Span kStrayTask{20'000};
+constexpr Span kDisplaceAnyway{2'000};
 constexpr std::size_t kMostDisplacing = 3;  // jobs for which room is sought in one round
 constexpr Span kCoalesce{5};
 constexpr Span kWantEvery{2000};
@@ -199,7 +201,10 @@
     if (!worth_releasing(start, begin)) continue;
     release(mirror_.write_slack() > kPersistSlack ? start : of_one_zone(start, planner), planner);
   }
-  displace(planner);
+  // Best when nothing more could start; a busy leader, whose rounds always start something or end
+  // early, looks all the same now and then.
+  const bool quiet = starts.empty() && admitted && cursor_ == 0;
+  if (quiet || begin - last_displaced_ > kDisplaceAnyway) displace(planner);
   if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
   if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
   persist();
@@ -250,6 +255,7 @@
 
 void Granting::housekeep() {
   const auto& records = mirror_.records();
+  std::set<HostId> strays;
   for (const auto& [uid, job] : records.jobs) {
     if (job.record.cancelled || slice_count(job.record.spec) > 1) end_job(uid, job);
     if (!job.record.cancelled) continue;
@@ -263,6 +269,16 @@
       }
     }
   }
+  // A task on a machine that no record knows: nobody could prove it gone but the cloud.
+  for (const auto& [host, placed] : records.placed) {
+    if (!records.machines.contains(host)) strays.insert(host);
+  }
+  for (const HostId& host : strays) {
+    if (clock_.wall() - stray_since_.try_emplace(host, clock_.wall()).first->second > kStrayTask) {
+      fleet_.condemn(host, "has tasks, but no record");
+    }
+  }
+  std::erase_if(stray_since_, [&](const auto& entry) { return !strays.contains(entry.first); });
   // What is left of jobs that are over goes when there is budget to spare, or when it piles up.
   const std::size_t left = records.slices.size() + records.grants.size();
   if (mirror_.write_slack() < kSweepSlack && left < 2 * records.jobs.size() + kMostLeft) return;
@@ -390,9 +406,9 @@
   const auto& machines = planner.profile().machines();
   std::map<ZoneId, std::size_t> counts;
   for (const Spot& s : start.plan.spots) ++counts[machines[s.machine].zone];
-  const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) {
-    return a.second < b.second;
-  });
+  const auto most =
+      std::max_element(counts.begin(), counts.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
   Start part{start.uid, {}, {}};
   for (std::size_t i = 0; i < start.parts.size(); ++i) {
     if (machines[start.plan.spots[i].machine].zone != most->first) continue;
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -89,6 +89,7 @@
     std::vector<HostId> hosts;
   };
   std::unordered_map<Uid, MadeRoom> made_room_;
+  std::map<HostId, Wall> stray_since_;
   std::unordered_map<Uid, Steady> last_release_;  // of arrays that still wait
   bool persisting_ = false;
   bool sweeping_ = false;
--- a/src/planner/occupancy.cpp
+++ b/src/planner/occupancy.cpp
@@ -82,6 +82,7 @@
 }
 
 void Occupancy::sync_machine(const HostId& host, const Records& records, Wall now) {
+  touch_tasks_on(host, records);  // where they count, and how long their fetch takes
   PlanMachine wanted;
   const auto record = records.machines.find(host);
   const auto coming = booting_.find(host);
@@ -108,7 +109,6 @@
     if (!there) return;
     profile_.remove_machine(*there);
     images_.forget(host);
-    touch_tasks_on(host, records);
     return;
   }
   if (there) {
@@ -123,7 +123,6 @@
   wanted.images = images_at(host, records);
   wanted.fetching = fetches_at(host, records);
   profile_.add_machine(std::move(wanted));
-  touch_tasks_on(host, records);
 }
 
 void Occupancy::sync_slice(const SliceKey& key, const Records& records, const Slices& pending,
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -12,7 +12,7 @@
 constexpr double kPriceSeconds = 30;     // waiting that the dearest machine, used whole, is worth
 constexpr double kPatientFetch = 0.3;
 constexpr double kApartSeconds = 10;  // waiting that staying in one zone is worth
-constexpr double kNothing = 1e-7;  // what rounding leaves
+constexpr double kNothing = 1e-7;     // what rounding leaves
 constexpr Wall kNever{std::numeric_limits<std::int64_t>::max()};
 
 std::uint64_t mix(std::uint64_t x) {
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -146,13 +146,12 @@
     if (gather && !job.record.spec.gang()) {
       // Where most of it is; a new one anywhere, decided by its name, so that no zone is favoured.
       const auto& there = item->demand.elsewhere;
-      const auto most = std::max_element(there.begin(), there.end(), [](const auto& a, const auto& b) {
-        return a.second < b.second;
-      });
-      item->demand.lean =
-          most != there.end()
-              ? most->first
-              : settings.zones[std::hash<Uid>{}(uid) % settings.zones.size()];
+      const auto most =
+          std::max_element(there.begin(), there.end(),
+                           [](const auto& a, const auto& b) { return a.second < b.second; });
+      item->demand.lean = most != there.end()
+                              ? most->first
+                              : settings.zones[std::hash<Uid>{}(uid) % settings.zones.size()];
     }
     queue.push_back(std::move(*item));
   }
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -196,8 +196,8 @@
   }
   const bool hurried = rank == Rank::submission || rank == Rank::read;
   queue.push_back({std::move(call), writes,
-                   clock_.steady() + (hurried ? kUserQueueTime * 2.0 : kQueueTime),
-                   std::move(then), rank == Rank::submission ? kAgain : 0});
+                   clock_.steady() + (hurried ? kUserQueueTime * 2.0 : kQueueTime), std::move(then),
+                   rank == Rank::submission ? kAgain : 0});
   pump();
 }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -246,5 +246,52 @@
   EXPECT_EQ(out.status, 404);
 }
 
+// Whatever happened before: once the state service is back, every accepted job is answered for, and
+// no bound on questions leaves one of them out when it is asked again.
+TEST_F(AdmissionTest, AfterAnOutageEveryAcceptedJobIsAnsweredFor) {
+  constexpr int kJobs = 500;
+  json::Document doc;
+  std::string why;
+  for (int i = 0; i < 2 * kJobs; ++i) {
+    const std::string uid = "req-" + std::to_string(i);
+    ASSERT_TRUE(json::parse(doc, changed("req-000412", uid)));
+    if (i < kJobs) {
+      store_.put(keys::job(Uid(uid)),
+                 encode(JobRecord{*parse_job(doc, why), clock_.wall(), std::nullopt}));
+    } else {
+      FinalRecord record;
+      record.uid = Uid(uid);
+      store_.put(keys::final_job(record.uid), encode(record));
+    }
+  }
+  for (int i = 0; i < 10; ++i) {
+    clock_.advance(Span{50});
+    store_.tell_watch();
+  }
+  store_.down = true;
+  store_.hold = true;
+  std::vector<int> status(2 * kJobs, 0);
+  const auto ask = [&](int i) {
+    admission_->query("req-" + std::to_string(i), [&status, i](const UserAnswer& a) {
+      status[static_cast<std::size_t>(i)] = a.status;
+    });
+  };
+  for (int i = 0; i < 2 * kJobs; ++i) ask(i);
+  store_.deliver_all();
+  clock_.advance(Span{5000});
+  for (const int s : status) EXPECT_EQ(s, 503);
+  store_.down = store_.hold = false;
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 2 * kJobs; ++i) {
+      if (status[static_cast<std::size_t>(i)] != 200) ask(i);
+    }
+    for (int i = 0; i < 10; ++i) {
+      clock_.advance(Span{100});
+      store_.tell_watch();
+    }
+  }
+  EXPECT_EQ(std::count(status.begin(), status.end(), 200), 2 * kJobs);
+}
+
 }  // namespace
 }  // namespace marblevale
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -347,5 +347,115 @@
   EXPECT_LE(kept.start, promised);
 }
 
+class ScriptedChannel : public OfferChannel {
+ public:
+  void offer(const NodeId& holder, const ReleaseOffer& offer,
+             std::function<void(OfferFate)> then) override {
+    offers.push_back(offer);
+    EXPECT_EQ(holder, NodeId("other"));
+    if (answer) then(*answer);
+  }
+  std::vector<ReleaseOffer> offers;
+  std::optional<OfferFate> answer;
+};
+
+class OfferingLeaderTest : public LeaderTest {
+ protected:
+  void begin_offering() {
+    machine("vm-1");
+    store_.put(keys::node(NodeId("other")),
+               encode(NodeRecord{NodeId("other"), Nonce(5), Permit(9)}));
+    store_.put(keys::block(ZoneId("a")),
+               encode(BlockRecord{ZoneId("a"), NodeId("other"), Nonce(5), 1}));
+    granting_.release_through(channel_);
+    begin();
+  }
+  ScriptedChannel channel_;
+};
+
+TEST_F(OfferingLeaderTest, AnOfferCountsAgainstTheLimitUntilItIsSettled) {
+  begin_offering();
+  submit(testing::gang("req-1", 1, 2, 60));
+  run(Span{200});
+  ASSERT_EQ(channel_.offers.size(), 1U);
+  EXPECT_EQ(channel_.offers[0].term, election_.term().get());
+  EXPECT_TRUE(tasks("req-1").empty()) << "nothing is committed by the leader yet";
+  // No word from the holder, and the state service refuses the leader: the binding may come yet.
+  submit(testing::gang("req-2", 1, 1, 30));
+  store_.scripts.assign(300, Script::refuse);
+  run(Span{4000});
+  EXPECT_TRUE(tasks("req-2").empty());
+  for (const auto& offer : channel_.offers) EXPECT_NE(offer.uid, "req-2");
+  store_.scripts.clear();
+  run(Span{1000});
+  EXPECT_EQ(tasks("req-1").at(0).state, TaskState::released) << "by the ordinary way";
+}
+
+TEST_F(OfferingLeaderTest, ABindingSettlesItsOffer) {
+  begin_offering();
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{200});
+  ASSERT_EQ(channel_.offers.size(), 1U);
+  set_task("req-1", bound("vm-1"));
+  run(Span{4000});
+  EXPECT_EQ(tasks("req-1").at(0).state, TaskState::bound) << "and is not released again";
+  EXPECT_EQ(channel_.offers.size(), 1U);
+}
+
+TEST_F(OfferingLeaderTest, WhatIsDeclinedIsPlannedAnew) {
+  channel_.answer = OfferFate::declined;
+  begin_offering();
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{3000});
+  EXPECT_GT(channel_.offers.size(), 2U);
+  EXPECT_LT(channel_.offers.size(), 12U) << "not at once";
+  EXPECT_TRUE(tasks("req-1").empty());
+}
+
+// A task on a machine that no record knows could be proven gone by nobody, and its job would wait
+// for ever: the cloud's answer to the deletion is the proof.
+TEST_F(LeaderTest, ATaskOnAMachineThatNoRecordKnowsIsFreedByDeletingIt) {
+  submit(testing::gang("req-1", 1, 1, 60));
+  set_task("req-1", bound("vm-lost"));
+  begin();
+  run(Span{10'000});
+  EXPECT_TRUE(cloud_.removed.empty());
+  run(Span{20'000});
+  ASSERT_FALSE(cloud_.removed.empty());
+  EXPECT_EQ(cloud_.removed[0], HostId("vm-lost"));
+  EXPECT_EQ(mirror_.records().machines.at(HostId("vm-lost")).record.state, MachineState::gone);
+}
+
+// A process that is back within a fraction of a second, in the middle of an election, with commits
+// of its earlier life still on their way.
+TEST_F(LeaderTest, ALateCommitOfItsEarlierLifeDoesNotUnseatAController) {
+  Txn stand;
+  stand.guard(keys::kLeader, Stamp{});
+  stand.put(keys::kLeader, encode(LeaderRecord{NodeId("me"), Nonce(3)}));
+  store_.scripts = {Script::arrive_late};
+  store_.commit(Rank::lease, stand, [](const CommitResult&) {});
+  ASSERT_EQ(store_.late.size(), 1U);
+  begin();
+  run(Span{500});
+  ASSERT_TRUE(election_.in_charge());
+  const Stamp term = election_.term();
+  EXPECT_EQ(store_.arrive().fate, Fate::conflict);
+  run(Span{1000});
+  EXPECT_EQ(election_.term(), term);
+}
+
+TEST_F(LeaderTest, AnEarlierLifeThatIsElectedLateIsFollowedByItsSuccessor) {
+  // The earlier life's commit arrives first, while this one stands.
+  store_.scripts = {Script::refuse, Script::refuse, Script::refuse};
+  begin();
+  store_.put(keys::kLeader, encode(LeaderRecord{NodeId("me"), Nonce(3)}));
+  store_.put(keys::node(NodeId("me")), encode(NodeRecord{NodeId("me"), Nonce(3), Permit(1)}));
+  run(Span{3000});
+  EXPECT_TRUE(election_.in_charge());
+  LeaderRecord leader = mirror_.records().leader->record;
+  EXPECT_EQ(leader.nonce, Nonce(7));
+  EXPECT_TRUE(mirror_.records().alive(NodeId("me"), Nonce(7)));
+}
+
 }  // namespace
 }  // namespace marblevale
--- /dev/null
+++ b/tests/holder_fixture.hpp
@@ -0,0 +1,148 @@
+// A holder with a scripted state service, scripted workers and a fake clock.
+#pragma once
+
+#include "blocks/holder.hpp"
+#include "helpers.hpp"
+#include "scripted_store.hpp"
+
+namespace marblevale::testing {
+
+using Script = ScriptedStore::Script;
+
+class ScriptedWorkers : public OrderSender {
+ public:
+  struct Sent {
+    std::string address;
+    std::string body;
+    HttpHandler then;
+  };
+  void send(const std::string& address, std::string body, HttpHandler then) override {
+    sent.push_back({address, std::move(body), std::move(then)});
+  }
+  std::vector<Sent> sent;
+};
+
+class HolderTest : public ::testing::Test {
+ protected:
+  HolderTest()
+      : mirror_(loop_, time_, store_, 1),
+        election_(loop_, settings(), store_, mirror_, Nonce(7)),
+        holder_(loop_, time_, settings_, mirror_, election_, workers_) {
+    MachineType type;
+    type.name = "g8";
+    type.room = {96, 8, 768};
+    type.zones = {ZoneId("a")};
+    store_.put(keys::kTypes, encode(std::vector<MachineType>{type}));
+    mirror_.begin();
+    election_.begin();
+    holder_.begin();
+    run(Span{10});
+    give_block("me", 7);
+  }
+
+  Settings& settings() {
+    settings_.node = NodeId("me");
+    settings_.zone = ZoneId("a");
+    settings_.zones = {ZoneId("a")};
+    settings_.peers.push_back({NodeId("other"), ZoneId("b"), {"10.0.0.2", 1}});
+    settings_.workers = {Span{3000}, Span{24'000}, Span{35'000}, Span{8000}, Span{49'000}};
+    return settings_;
+  }
+
+  /// Time passes while the state service keeps the watch informed.
+  void run(Span span) {
+    for (std::int64_t at = 0; at < span.ms; at += 10) {
+      time_.advance(Span{10});
+      if (informed_) store_.tell_watch();
+    }
+  }
+
+  void give_block(const std::string& node, std::uint64_t nonce) {
+    warrant_ = Warrant(store_
+                           .put(keys::block(ZoneId("a")),
+                                encode(BlockRecord{ZoneId("a"), NodeId(node), Nonce(nonce), 1}))
+                           .get());
+    run(Span{20});
+  }
+
+  [[nodiscard]] std::uint64_t warrant() const {
+    return store_.get(keys::block(ZoneId("a")))->stamp.get();
+  }
+
+  HelloAnswer hello(std::uint64_t tenure, std::uint64_t seen, const std::string& parts = "",
+                    const std::string& host = "vm-1") {
+    return holder_.hello(R"({"host":")" + host + R"(","address":"10.1.0.1:9000","build":"g8",)" +
+                         R"("district":"a","loaners":false,"tenure":)" + std::to_string(tenure) +
+                         R"(,"tally":)" + std::to_string(++tally_) + R"(,"warrant":)" +
+                         std::to_string(seen) + R"(,"recall_s":null,"parts":[)" + parts + "]}");
+  }
+
+  static std::string part(const std::string& status, const std::string& cause = "",
+                          const std::string& saved = "false", std::uint64_t attempt = 1) {
+    return R"({"part":"req-1/0","try":)" + std::to_string(attempt) + R"(,"status":")" + status +
+           R"(","cause":")" + cause + R"(","saved":)" + saved + "}";
+  }
+
+  /// A job of one task that the leader has released to vm-1.
+  void release(bool gang = true) {
+    JobRecord job;
+    job.spec = gang ? testing::gang("req-1", 1, 1, 100) : testing::batch("req-1", 1, 1, 100);
+    job.accepted = time_.wall();
+    store_.put(keys::job(job.spec.uid), encode(job));
+    SliceRecord slice;
+    slice.uid = job.spec.uid;
+    TaskRecord task;
+    task.state = TaskState::released;
+    task.attempt = Attempt(1);
+    task.zone = ZoneId("a");
+    task.host = HostId("vm-1");
+    task.since = time_.wall();
+    slice.tasks = {task};
+    store_.put(keys::slice(slice.uid, 0), encode(slice));
+  }
+
+  [[nodiscard]] TaskRecord task() const {
+    const auto entry = store_.get(keys::slice(Uid("req-1"), 0));
+    SliceRecord slice;
+    json::Document doc;
+    if (!entry || !json::parse(doc, entry->value) || !decode(doc, slice)) return {};
+    return slice.tasks.at(0);
+  }
+
+  void cancel() {
+    JobRecord job;
+    json::Document doc;
+    EXPECT_TRUE(json::parse(doc, store_.get(keys::job(Uid("req-1")))->value));
+    EXPECT_TRUE(decode(doc, job));
+    job.cancelled = time_.wall();
+    store_.put(keys::job(Uid("req-1")), encode(job));
+  }
+
+  [[nodiscard]] bool sent(const std::string& verb) const {
+    return std::any_of(workers_.sent.begin(), workers_.sent.end(), [&](const auto& s) {
+      return s.body.find("\"" + verb + "\"") != std::string::npos;
+    });
+  }
+
+  void bind_and_start() {
+    hello(1, warrant());
+    release();
+    run(Span{50});
+    ASSERT_EQ(task().state, TaskState::bound);
+    ASSERT_TRUE(sent("start"));
+  }
+
+  FakeTime time_;
+  Loop loop_{&time_};
+  Settings settings_;
+  ScriptedStore store_;
+  ScriptedWorkers workers_;
+  Mirror mirror_;
+  Election election_;
+  Holder holder_;
+  Warrant warrant_;
+  std::uint64_t tally_ = 0;
+  bool informed_ = true;
+};
+
+}  // namespace marblevale::testing
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,6 +1,8 @@
 // The planner against the paper's figures: one machine whose GPUs stand for its processors.
 #include "planner/planner.hpp"
 
+#include <memory>
+
 #include "helpers.hpp"
 
 namespace marblevale {
@@ -250,5 +252,86 @@
   EXPECT_EQ(plan->end(), at(30));
 }
 
+/// A cluster that runs by the plan: every second a round; tasks end when they were estimated to.
+class Days {
+ public:
+  explicit Days(int machines) {
+    for (int i = 0; i < machines; ++i) hosts_.push_back("m" + std::to_string(i));
+  }
+  void submit(JobSpec job) {
+    jobs_.push_back(std::make_unique<JobSpec>(std::move(job)));
+    queue_.push_back(item(*jobs_.back(), ++serial_, now_));
+  }
+  void second() {
+    std::erase_if(running_, [&](const auto& t) { return t.second.to <= at(now_); });
+    Profile p;
+    for (const auto& host : hosts_) p.add_machine(machine(host, 4));
+    for (const auto& [host, taken] : running_) p.take(*p.find(host), TeamId("x"), taken);
+    Planner planner(std::move(p), queue_, reservations_, at(now_), never);
+    planner.restore();
+    planner.admit_arrivals();
+    std::size_t cursor = 0;
+    for (const Start& start : planner.compress(cursor)) {
+      const auto entry = std::find_if(queue_.begin(), queue_.end(),
+                                      [&](const auto& i) { return i.uid == start.uid; });
+      began_.try_emplace(start.uid.get(), now_);
+      for (const Spot& s : start.plan.spots) {
+        running_.emplace_back(planner.profile().machines()[s.machine].host,
+                              Taken{Wall{0}, s.end, entry->demand.job->need, Owner{++serial_}});
+      }
+      entry->demand.tasks -= static_cast<std::uint32_t>(start.parts.size());
+      entry->parts.resize(entry->demand.tasks);
+      if (entry->demand.tasks == 0) {
+        reservations_.erase(start.uid);
+        queue_.erase(entry);
+      }
+    }
+    now_ += 1;
+  }
+  [[nodiscard]] double granted(const std::string& uid) const {
+    return static_cast<double>(reservations_.at(Uid(uid)).first.ms) / 1000;
+  }
+  [[nodiscard]] std::optional<double> began(const std::string& uid) const {
+    const auto it = began_.find(uid);
+    return it == began_.end() ? std::nullopt : std::optional(it->second);
+  }
+  [[nodiscard]] double now() const { return now_; }
+
+ private:
+  std::vector<std::string> hosts_;
+  std::vector<std::unique_ptr<JobSpec>> jobs_;
+  std::vector<QueueItem> queue_;
+  std::vector<std::pair<HostId, Taken>> running_;
+  Reservations reservations_;
+  std::map<std::string, double> began_;
+  std::uint64_t serial_ = 0;
+  double now_ = 1;
+};
+
+// Small urgent jobs come without end and could take every machine as it falls free. The reservation
+// of the widest gang, and that of the longest array, keep their room.
+TEST(Guarantee, TheLargestJobsBeginInTimeUnderAStreamOfSmallUrgentOnes) {
+  Days days(20);
+  const auto stream = [&](int n) {
+    JobSpec small = gang("req-s" + std::to_string(n), 1, 4, 20 + n % 7);
+    small.urgency = Urgency::urgent;
+    days.submit(small);
+  };
+  int n = 0;
+  for (; n < 40; ++n) stream(n);
+  for (int s = 0; s < 10; ++s) days.second();
+  days.submit(gang("req-wide", 16, 4, 60));
+  days.submit(batch("req-long", 64, 1, 40));
+  days.second();
+  const double promised = days.granted("req-wide");
+  while (days.now() < 240 && !(days.began("req-wide") && days.began("req-long"))) {
+    stream(n++);  // one a second, each of which takes a machine for over 20 s: more than there is
+    days.second();
+  }
+  ASSERT_TRUE(days.began("req-wide"));
+  ASSERT_TRUE(days.began("req-long"));
+  EXPECT_LE(*days.began("req-wide"), promised + 1);
+}
+
 }  // namespace
 }  // namespace marblevale
