--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -21,14 +21,14 @@
 constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
 constexpr double kUnheardReports = 2.5;  // reports after which a start must show
-constexpr Span kOfferLife{1'200};
+constexpr Span kOfferLife{2'500};
 constexpr std::size_t kMostOffers = 200;
 constexpr double kMuchSlack = 0.5;  // of the budget for writes
 constexpr Span kGatherBriefly{30};  // changes of machines that come together, with budget to spare
 constexpr Span kGather{1'000};      // and without
 // Changes of a slice that can wait for others of its slice when there is no budget to spare.
-constexpr Span kEndsWait{4'000};
-constexpr Span kRunningWait{15'000};
+constexpr Span kEndsWait{8'000};
+constexpr Span kRunningWait{60'000};
 
 }  // namespace
 
@@ -148,6 +148,7 @@
       const bool fresh = warrants_[zone] == Warrant{};
       warrants_[zone] = now;
       if (!fresh) continue;
+      first_warrant_[zone] = now;
       spdlog::info("holder: block {} is ours, warrant {}", zone.get(), now.get());
       // Workers of a holder that is gone are told at once who speaks for the block now.
       for (const auto& [host, machine] : mirror_.records().machines) {
@@ -237,11 +238,12 @@
   worker.zone = report->district;
   // A copy of an old report may come as late as it likes: what is not newer than what is known of
   // the worker changes nothing. A holder that has just begun knows nothing yet; then only a report
-  // that has seen our warrant shows that it was sent since.
+  // that has seen a warrant of ours shows that it was sent since. (Warrants are renewed while a block
+  // is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
   if (!newer) return {200, write_answer(warrant, {})};
   worker.answered = now;
-  if (report->warrant == warrant) {
+  if (report->warrant >= first_warrant_[report->district]) {
     worker.heard = now;
     if (!worker.deaf) worker.introduced = warrant;
     note_machine(*report, worker);
@@ -739,6 +741,7 @@
   const auto since = soft_.try_emplace(key, clock_.steady()).first->second;
   if (clock_.steady() - since < patience) return false;  // the sweep looks again
   soft_.erase(key);
+  meter_.count(patience == Span{0} ? "slices at once" : "slices gathered");
 
   Txn txn;
   // A binding of a holder that was replaced, or for a job cancelled meanwhile, must fail.
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -125,6 +125,7 @@
   Mirror& mirror_;
   Election& election_;
   OrderSender& orders_;
+  std::map<ZoneId, Warrant> first_warrant_;  // with which the holding began
   std::map<ZoneId, Warrant> warrants_;  // as of the last take_blocks
   std::unordered_map<HostId, Worker> workers_;
   std::vector<Kept> offers_;
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -31,7 +31,7 @@
 constexpr double kSweepSlack = 0.6;
 constexpr std::size_t kMostLeft = 1000;
 constexpr std::size_t kSmallPiece = 8;
-constexpr Span kOfferPatience{2'000};
+constexpr Span kOfferPatience{3'500};
 constexpr Span kPieceEvery{3'000};
 constexpr Span kPersistLater{5'000};
 constexpr std::size_t kMostWanting = 30;
@@ -355,7 +355,7 @@
 void Granting::commit_slices(Txn txn, std::vector<SliceRecord> slices) {
   for (const SliceRecord& slice : slices) {
     Pending& pending = pending_[{slice.uid, slice.number}];
-    pending = {slice, std::nullopt, std::nullopt, pending.offered};
+    pending = {slice, std::nullopt, std::nullopt, pending.offered, pending.over};
   }
   auto kept = std::make_shared<Txn>(txn);
   const Stamp term = term_;
@@ -374,7 +374,9 @@
                        pending.until = r.revision;  // the mirror must catch up first
                      } else if (pending.offered) {
                        // A holder may still bind it: only a definite answer ends that.
-                       unknown_.push_back({*kept, slices});
+                       offered_.insert_or_assign(
+                           SliceKey{slice.uid, slice.number},
+                           Offered{*kept, slice, pending.over, clock_.steady()});
                      } else {
                        // Not executed. Not tried again at once: the state service may be refusing
                        // this node for a while.
@@ -506,7 +508,7 @@
     const TaskRecord& task = offered.slice.tasks.at(index);
     message.tasks.push_back({index, task.attempt.get(), task.zone.get(), task.host.get()});
   }
-  pending_[key] = {offered.slice, std::nullopt, std::nullopt, true};
+  pending_[key] = {offered.slice, std::nullopt, std::nullopt, true, offered.over};
   offered_.insert_or_assign(key, std::move(offered));
   channel_->offer(holder, message, [this, key, term = term_](OfferFate fate) {
     if (term_ != term || state_ != State::leading || fate != OfferFate::declined) return;
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -40,6 +40,7 @@
     std::optional<Revision> until;  // kept until the mirror has this
     std::optional<Steady> retry;    // it was refused: kept until then
     bool offered = false;           // a holder may bind it: kept until its slice has changed
+    Stamp over;                     // the slice as it was then
   };
 
   void transition(State next);
