--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -238,8 +238,8 @@
   worker.zone = report->district;
   // A copy of an old report may come as late as it likes: what is not newer than what is known of
   // the worker changes nothing. A holder that has just begun knows nothing yet; then only a report
-  // that has seen a warrant of ours shows that it was sent since. (Warrants are renewed while a block
-  // is held: the first of them counts.)
+  // that has seen a warrant of ours shows that it was sent since. (Warrants are renewed while a
+  // block is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
   if (!newer) return {200, write_answer(warrant, {})};
   worker.answered = now;
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -126,7 +126,7 @@
   Election& election_;
   OrderSender& orders_;
   std::map<ZoneId, Warrant> first_warrant_;  // with which the holding began
-  std::map<ZoneId, Warrant> warrants_;  // as of the last take_blocks
+  std::map<ZoneId, Warrant> warrants_;       // as of the last take_blocks
   std::unordered_map<HostId, Worker> workers_;
   std::vector<Kept> offers_;
   std::set<SliceKey> dirty_;
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -2,11 +2,14 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace marblevale {
 
 namespace {
 constexpr std::array<const char*, 4> kNames{"joining", "follower", "standing", "leading"};
 constexpr Span kStandJitter{150};
+constexpr Span kDefer{500};
 }  // namespace
 
 Election::Election(Loop& loop, const Settings& settings, Store& store, Mirror& mirror, Nonce nonce)
@@ -19,7 +22,11 @@
       session_timer_(loop, [this] { session_ == Permit{} ? open_session() : touch(); }),
       block_timer_(loop,
                    [this] { block_permit_ == Permit{} ? open_block_lease() : touch_blocks(); }),
-      consider_timer_(loop, [this] { consider(); }) {
+      consider_timer_(loop, [this] { consider(); }),
+      defer_timer_(loop, [this] {
+        may_stand_ = true;
+        consider();
+      }) {
   mirror_.listen([this](Topic topic, const std::string&) {
     if (topic == Topic::leader || topic == Topic::node) consider_timer_.start({0});
   });
@@ -117,6 +124,7 @@
   }
   announce();
   const auto& leader = mirror_.records().leader;
+  if (leader) may_stand_ = false;
   if (leader && leader->record.node == settings_.node && leader->record.nonce == nonce_) {
     term_ = leader->stamp;
     transition(State::leading, "the leader record is ours");
@@ -127,10 +135,25 @@
   if (leader && leader->record.node == settings_.node) {
     stand(leader->stamp);  // an earlier life of this controller led; its successor is here
   } else if (!leader) {
+    if (needed_at_home() && !may_stand_) {
+      if (!defer_timer_.pending()) defer_timer_.start(kDefer);
+      return;
+    }
     stand(Stamp{});
   }
 }
 
+bool Election::needed_at_home() const {
+  // Its zone has no other controller to hold the zone's block, and elsewhere there is one to spare:
+  // leading and holding together are too much for one in a large deployment.
+  std::map<ZoneId, int> controllers;
+  ++controllers[settings_.zone];
+  for (const Peer& peer : settings_.peers) ++controllers[peer.zone];
+  return controllers[settings_.zone] == 1 &&
+         std::any_of(controllers.begin(), controllers.end(),
+                     [](const auto& zone) { return zone.second > 1; });
+}
+
 void Election::stand(Stamp over) {
   transition(State::standing, "the place is free");
   Txn txn;
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -36,6 +36,7 @@
   void consider();
   void announce();
   void stand(Stamp over);
+  [[nodiscard]] bool needed_at_home() const;
 
   const Settings& settings_;
   Store& store_;
@@ -47,10 +48,12 @@
   Permit session_;
   Permit block_permit_;
   bool announcing_ = false;
+  bool may_stand_ = false;  // others have had the time to stand first
   Backoff backoff_;
   Timer session_timer_;
   Timer block_timer_;
   Timer consider_timer_;
+  Timer defer_timer_;
 };
 
 }  // namespace marblevale
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -158,6 +158,15 @@
   EXPECT_TRUE(election_.in_charge());
 }
 
+TEST_F(LeaderTest, TheOnlyControllerOfAZoneLetsThoseElsewhereStandFirst) {
+  settings_.peers = {{NodeId("n1"), ZoneId("b"), {}}, {NodeId("n2"), ZoneId("b"), {}}};
+  begin();
+  run(Span{200});
+  EXPECT_FALSE(election_.in_charge());
+  run(Span{1000});
+  EXPECT_TRUE(election_.in_charge()) << "nobody else did";
+}
+
 TEST_F(LeaderTest, ALostSessionEndsLeadership) {
   begin();
   ASSERT_TRUE(election_.in_charge());
