--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Span kTick{500};
-constexpr Span kRoundEvery{60};  // what changes within this is planned together
+constexpr Span kRoundEvery{15};  // what changes within this is planned together
 constexpr Span kDisplaceEvery{400};
 constexpr Span kStrayTask{20'000};
 constexpr Span kDisplaceAnyway{2'000};
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -12,7 +12,7 @@
 constexpr Span kHold{400};
 constexpr Span kPatience{1500};  // of a question; its user waits 2 s
 constexpr std::size_t kMostWaiting = 4000;
-constexpr double kWatchShare = 0.3;  // of the published rate of requests, for all watches together
+constexpr double kWatchShare = 0.4;  // of the published rate of requests, for all watches together
 
 struct Parsed {
   Topic topic;
