--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -18,7 +18,7 @@
 constexpr Span kDisplaceAnyway{2'000};
 constexpr std::size_t kMostDisplacing = 3;  // jobs for which room is sought in one round
 constexpr Span kCoalesce{5};
-constexpr Span kWantEvery{2000};
+constexpr Span kWantEvery{1000};  // at the least, and at most a thirtieth of the time
 constexpr Span kSummaryEvery{10'000};
 constexpr Span kSaveMargin{3'000};  // before a machine is taken back
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
@@ -206,7 +206,8 @@
   const bool quiet = starts.empty() && admitted && cursor_ == 0;
   if (quiet || begin - last_displaced_ > kDisplaceAnyway) displace(planner);
   if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
-  if (clock_.steady() - last_want_ >= kWantEvery) want_machines(planner);
+  if (clock_.steady() - last_want_ >= std::max(kWantEvery, want_took_ * 30.0))
+    want_machines(planner);
   persist();
   occupancy_.profile() = planner.take_profile();
   // How often the budget ends before the queue does.
@@ -681,6 +682,7 @@
     }
   }
   fleet_.plan(std::move(wanting), std::move(team_room), std::move(in_use));
+  want_took_ = clock_.steady() - last_want_;
 }
 
 void Granting::persist() {
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -97,6 +97,7 @@
   Occupancy occupancy_;
   Steady last_persist_{-1'000'000};
   Span displace_took_{};
+  Span want_took_{};
   Steady last_displaced_{-1'000'000};
   Steady timer_due_{};
   Steady round_over_{};
