Fleet: arrays begin broadly; bounds by need; pauses, loads and introductions at size

Connections for orders follow max_sockets and the oldest idle quarter makes room (all idle ones were closed at 128); a list of machines is read in pages of 500 and takes at most 0.3 of the cloud's calls; a load goes on at the page that failed; time in which the process stood still is not its machines' silence; a block that comes tells machines with work first, 64 a round; up to four slices of an array wait in the queue, each released by itself.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -22,7 +22,7 @@
       fleet_(loop, clock, settings, mirror_, election_, cloud_),
       granting_(loop, clock, settings, mirror_, election_, fleet_),
       grants_(loop, clock, settings, mirror_, election_),
-      order_sender_(loop),
+      order_sender_(loop, order_connections(settings)),
       holder_(loop, clock, settings, mirror_, election_, order_sender_),
       offers_(loop, settings, [this](const ReleaseOffer& offer) { return holder_.take(offer); }),
       admission_(clock, settings, store_, mirror_),
@@ -55,6 +55,7 @@
   holder_.begin();
   pulses_.begin();
   summary_timer_.start(kSummaryEvery);
+  spdlog::info("service: at most {} connections to workers", order_connections(settings_));
 }
 
 void Service::summarize() {
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -18,8 +18,12 @@
 constexpr Span kStrayTime{6'000};
 constexpr Span kStrayRecent{5'000};
 constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
-constexpr std::size_t kMostClients = 128;
 constexpr Span kIntroduceEvery{2'000};
+constexpr std::size_t kLeastClients = 32;  // connections to workers
+constexpr std::size_t kDefaultClients = 128;
+constexpr std::size_t kMostClients = 2'000;
+constexpr std::size_t kMostWoken = 64;   // machines that get orders in one round
+constexpr Span kPause{3'000};            // between two sweeps: this process stood still
 constexpr double kUnheardReports = 2.5;  // reports after which a start must show
 constexpr Span kOfferLife{2'500};
 constexpr std::size_t kMostOffers = 200;
@@ -35,9 +39,9 @@
 void HttpOrderSender::send(const std::string& address, std::string body, HttpHandler then) {
   auto it = clients_.find(address);
   if (it == clients_.end()) {
-    if (clients_.size() >= kMostClients) {
-      // Machines come and go: addresses that are idle make room.
-      std::erase_if(clients_, [](const auto& entry) { return entry.second->idle(); });
+    if (clients_.size() >= most_ && !make_room()) {
+      then({0, true, {}});
+      return;
     }
     Address to;
     try {
@@ -46,13 +50,34 @@
       then({0, true, {}});
       return;
     }
-    it = clients_.emplace(address, std::make_unique<HttpClient>(loop_, to, 1, 4)).first;
+    it = clients_.emplace(address, Client{std::make_unique<HttpClient>(loop_, to, 1, 4)}).first;
   }
-  it->second->send(
+  it->second.used = ++sent_;
+  it->second.http->send(
       {EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
       std::move(then));
 }
 
+std::size_t order_connections(const Settings& settings) {
+  // A quarter: in the worst case all the machines report here, each by a connection of its own.
+  if (settings.max_sockets <= 0) return kDefaultClients;
+  return std::clamp(static_cast<std::size_t>(settings.max_sockets) / 4, kLeastClients,
+                    kMostClients);
+}
+
+bool HttpOrderSender::make_room() {
+  // Machines come and go: of the idle connections, the quarter that was used longest ago is closed.
+  // To close all of them would mean a new connection for nearly every order in a large fleet.
+  std::vector<std::pair<std::uint64_t, std::string>> idle;
+  for (const auto& [address, client] : clients_) {
+    if (client.http->idle()) idle.emplace_back(client.used, address);
+  }
+  std::sort(idle.begin(), idle.end());
+  idle.resize((idle.size() + 3) / 4);
+  for (const auto& [used, address] : idle) clients_.erase(address);
+  return !idle.empty();
+}
+
 Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
                Election& election, OrderSender& orders)
     : meter_(loop.meter()),
@@ -432,10 +457,27 @@
   }
   const bool more = !batch.empty();
   dirty_.merge(batch);
+  give_orders();
+  if ((more || !wake_.empty()) && !round_timer_.pending()) round_timer_.start(kCoalesce);
+}
+
+void Holder::give_orders() {
+  // A block that comes brings hundreds of machines that must be told at once: first those with
+  // work, and not all in one round, or everything else would wait for their connections.
   std::set<HostId> wake;
   wake.swap(wake_);
-  for (const HostId& host : wake) direct(host);
-  if (more && !round_timer_.pending()) round_timer_.start(kCoalesce);
+  const auto& placed = mirror_.records().placed;
+  std::size_t left = kMostWoken;
+  for (const bool working : {true, false}) {
+    for (const HostId& host : wake) {
+      if (placed.contains(host) != working) continue;
+      if (left == 0) {
+        wake_.insert(host);
+        continue;
+      }
+      if (direct(host)) --left;
+    }
+  }
 }
 
 bool Holder::takes(const HostId& host, const JobSpec& job,
@@ -823,19 +865,22 @@
   return out;
 }
 
-void Holder::direct(const HostId& host) {
+bool Holder::direct(const HostId& host) {
   const auto it = workers_.find(host);
-  if (it == workers_.end()) return;
+  if (it == workers_.end()) return false;
   Worker& worker = it->second;
-  if (holding(worker.zone) != Holding::held || worker.direct_busy) return;
-  if (clock_.steady() - std::max(mirror_.fresh_until(), extended_fresh_) >= answer_limit()) return;
+  if (holding(worker.zone) != Holding::held || worker.direct_busy) return false;
+  if (clock_.steady() - std::max(mirror_.fresh_until(), extended_fresh_) >= answer_limit()) {
+    return false;
+  }
   auto orders = orders_for(host, worker, false);
   const Steady now = clock_.steady();
   const bool introduce =
       worker.introduced == Warrant{} && now - worker.last_introduction >= kIntroduceEvery;
-  if (orders.empty() && !introduce) return;
+  if (orders.empty() && !introduce) return false;
   worker.last_introduction = now;
   send_direct(host, worker, std::move(orders));
+  return true;
 }
 
 void Holder::send_direct(const HostId& host, Worker& worker, std::vector<Order> orders) {
@@ -872,12 +917,27 @@
                });
 }
 
+void Holder::discount_pause(Steady now) {
+  // A process that stood still while the clocks ran on has heard nobody meanwhile, through no fault
+  // of the machines: that time does not count as their silence, nor as starts that don't show.
+  const Span pause = now - last_sweep_ - kSweep;
+  const bool first = last_sweep_.ms < 0;
+  last_sweep_ = now;
+  if (first || pause < kPause) return;
+  spdlog::info("holder: stood still for {} ms", pause.ms);
+  for (auto& [host, worker] : workers_) {
+    worker.heard = std::min(now, worker.heard + pause);
+    for (auto& [key, since] : worker.starts) since = std::min(now, since + pause);
+  }
+}
+
 void Holder::sweep() {
   sweep_timer_.start(kSweep);
   if (!mirror_.ready()) return;
   const auto timed = meter_.time(Duty::holder);
   const auto& records = mirror_.records();
   const Steady now = clock_.steady();
+  discount_pause(now);
   for (const ZoneId& zone : wants_renewal_) {
     if (holding(zone) != Holding::held) continue;
     auto& last = warrant_renewed_[zone];
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -30,14 +30,27 @@
 
 class HttpOrderSender : public OrderSender {
  public:
-  explicit HttpOrderSender(Loop& loop) : loop_(loop) {}
+  /// `most`: connections to workers kept at a time.
+  HttpOrderSender(Loop& loop, std::size_t most) : loop_(loop), most_(most) {}
   void send(const std::string& address, std::string body, HttpHandler then) override;
 
  private:
+  struct Client {
+    std::unique_ptr<HttpClient> http;
+    std::uint64_t used = 0;  // when last, as a count of requests
+  };
+  bool make_room();
+
   Loop& loop_;
-  std::map<std::string, std::unique_ptr<HttpClient>> clients_;
+  std::size_t most_;
+  std::uint64_t sent_ = 0;
+  std::map<std::string, Client> clients_;
 };
 
+/// How many connections to workers may be kept: what the machine's sockets leave beside the
+/// workers' own and the users'.
+std::size_t order_connections(const Settings& settings);
+
 /// The answer to a report: 200 with orders, or 421 with or without the holder's name.
 struct HelloAnswer {
   int status = 421;
@@ -95,6 +108,8 @@
   void retry_offers();
   void round();
   void sweep();
+  void give_orders();
+  void discount_pause(Steady now);
   bool bind_offer(const ReleaseOffer& offer, Steady since);
   bool decide_slice(const SliceKey& key);
   void commit_slice(const SliceKey& key, Txn txn, std::optional<Kept> offered = std::nullopt);
@@ -108,7 +123,8 @@
   void finish(const TaskId& id, TaskRecord& task, const JobSpec& job, const std::string& cause,
               bool saved);
   std::vector<Order> orders_for(const HostId& host, Worker& worker, bool in_answer);
-  void direct(const HostId& host);
+  /// True when something was sent.
+  bool direct(const HostId& host);
   void send_direct(const HostId& host, Worker& worker, std::vector<Order> orders);
   bool absorb(Worker& worker, const Report& report);
   void mark_deaf(const HostId& host, Worker& worker, const char* why);
@@ -140,6 +156,7 @@
   std::map<ZoneId, NodeId> holders_;  // whose each block was when last looked at
   std::map<ZoneId, std::map<HostId, std::vector<Steady>>> strays_;
   Steady extended_fresh_{};
+  Steady last_sweep_{-1'000'000};
   Timer flush_timer_;
   Timer round_timer_;
   Timer sweep_timer_;
--- a/src/fleet/cloud_client.cpp
+++ b/src/fleet/cloud_client.cpp
@@ -5,7 +5,7 @@
 namespace {
 constexpr Span kDeadline{4000};
 constexpr std::size_t kQueueLimit = 64;
-constexpr std::size_t kPage = 200;
+constexpr std::size_t kPage = 500;  // the most that the cloud gives
 constexpr double kShare = 0.8;
 }  // namespace
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,8 +15,10 @@
 constexpr Span kMostRefusal{40'000};
 // Longer than any list lags, and than copies of a machine's reports come late.
 constexpr Span kTombstone{180'000};
-constexpr double kNeverUp = 3.0;  // boot times after which a machine is given up
-constexpr std::size_t kMostDeleted = 50;
+constexpr double kNeverUp = 3.0;           // boot times after which a machine is given up
+constexpr std::size_t kMostDeleted = 100;  // by one request, as the protocol has it
+constexpr double kListShare =
+    0.3;  // of the cloud's calls: renting and deleting must not wait for lists
 constexpr std::uint32_t kMostHired = 50;  // by one request, as the protocol has it
 constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
@@ -129,7 +131,9 @@
 
 void Fleet::refresh_list() {
   const Steady now = clock_.steady();
-  const Span every = std::max(Span{2000}, settings_.list_lag * 0.5);
+  // A list of a large fleet takes several calls: the more pages it had, the rarer it is read.
+  const Span every = std::max({Span{2000}, settings_.list_lag * 0.5,
+                               from_seconds(list_pages_ / (settings_.cloud_rps * kListShare))});
   if (listing_ || now - list_at_ < every) return;
   listing_ = true;
   list_at_ = now;
@@ -138,27 +142,28 @@
       listing_ = false;
       return;
     }
-    take_list(*page, now, {});
+    take_list(*page, now, {}, 1);
   });
 }
 
-void Fleet::take_list(const MachineList& page, Steady sent, std::set<HostId> seen) {
+void Fleet::take_list(const MachineList& page, Steady sent, std::set<HostId> seen, int pages) {
   for (const ListedMachine& m : page.machines) {
     listed_[m.host] = {m, clock_.steady()};
     seen.insert(m.host);
   }
   if (page.has_next && !page.machines.empty()) {
     cloud_.list(page.machines.back().host,
-                [this, sent, seen = std::move(seen)](std::optional<MachineList> next) {
+                [this, sent, seen = std::move(seen), pages](std::optional<MachineList> next) {
                   if (!next) {
                     listing_ = false;
                     return;
                   }
-                  take_list(*next, sent, seen);
+                  take_list(*next, sent, seen, pages + 1);
                 });
     return;
   }
   listing_ = false;
+  list_pages_ = pages;
   last_list_ = sent;
   last_seen_ = std::move(seen);
   std::erase_if(listed_, [this](const auto& entry) { return !last_seen_.contains(entry.first); });
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -44,7 +44,7 @@
   void tick();
   void refresh_types();
   void refresh_list();
-  void take_list(const MachineList& page, Steady sent, std::set<HostId> seen);
+  void take_list(const MachineList& page, Steady sent, std::set<HostId> seen, int pages);
   void pursue_hires();
   void pursue_machines();
   void return_idle();
@@ -66,6 +66,7 @@
   std::uint64_t serial_ = 0;
   bool types_asked_ = false;
   bool listing_ = false;
+  int list_pages_ = 1;  // of the last whole list
   bool deleting_ = false;
   Steady types_at_{-1'000'000};
   Steady list_at_{-1'000'000};
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -199,7 +199,8 @@
   const auto starts = planner.compress(cursor_);
   for (const Start& start : starts) {
     if (!worth_releasing(start, begin)) continue;
-    release(mirror_.write_slack() > kPersistSlack ? start : of_one_zone(start, planner), planner);
+    const Start some = mirror_.write_slack() > kPersistSlack ? start : of_one_zone(start, planner);
+    for (const Start& piece : by_slice(some)) release(piece, planner);
   }
   // Best when nothing more could start; a busy leader, whose rounds always start something or end
   // early, looks all the same now and then.
@@ -421,6 +422,23 @@
   return part;
 }
 
+std::vector<Start> Granting::by_slice(const Start& start) const {
+  // An array's tasks start separately, so each slice is released by itself: it can be offered to
+  // its holder, and one that has to wait for its last commit does not hold up the others.
+  const JobRecord* job = mirror_.records().job(start.uid);
+  if (job == nullptr || job->spec.gang()) return {start};
+  std::map<std::uint32_t, Start> pieces;
+  for (std::size_t i = 0; i < start.parts.size(); ++i) {
+    Start& piece =
+        pieces.try_emplace(start.parts[i] / kSliceTasks, Start{start.uid, {}, {}}).first->second;
+    piece.plan.spots.push_back(start.plan.spots[i]);
+    piece.parts.push_back(start.parts[i]);
+  }
+  std::vector<Start> out;
+  for (auto& [number, piece] : pieces) out.push_back(std::move(piece));
+  return out;
+}
+
 void Granting::release(const Start& start, const Planner& planner) {
   const auto& records = mirror_.records();
   const auto job = records.jobs.find(start.uid);
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -55,6 +55,7 @@
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
   bool worth_releasing(const Start& start, Steady now);
   [[nodiscard]] Start of_one_zone(const Start& start, const Planner& planner) const;
+  [[nodiscard]] std::vector<Start> by_slice(const Start& start) const;
   void release(const Start& start, const Planner& planner);
   [[nodiscard]] std::optional<NodeId> one_holder(const Start& start, const Planner& planner) const;
   void offer(const NodeId& holder, Offered offered, const Start& start);
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -10,6 +10,10 @@
 
 constexpr Span kLeastRun{5'000};
 constexpr double kEstimateMargin = 1.15;  // estimates are often too low
+/// Of a long array, how many tasks wait in the queue at once: enough that it can begin broadly
+/// where room is, few enough that 100,000 tasks cost neither as many reservations nor as many
+/// writes.
+constexpr std::size_t kOpenTasks = 4 * kSliceTasks;
 
 Span retry_pause(std::uint32_t faults) {
   // The first retry is at once, elsewhere; a job that keeps failing gives way to the others.
@@ -68,7 +72,7 @@
   bool placed = false;
   for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
     const SliceRecord* slice = current(uid, n);
-    const bool open = item.parts.empty() && paused.empty();
+    if (!spec.gang() && item.parts.size() + paused.size() >= kOpenTasks) break;
     for (std::uint32_t i = 0; i < slice_size(spec, n); ++i) {
       const TaskRecord* task = slice == nullptr ? nullptr : &slice->tasks[i];
       if (task != nullptr && task->placed()) {
@@ -76,11 +80,6 @@
         ++zones[task->zone];
       }
       if (task != nullptr && task->state != TaskState::idle) continue;
-      // Of a long array, one slice at a time is in the queue; a gang is there whole.
-      if (!spec.gang() && !open && n * kSliceTasks + i >= kSliceTasks &&
-          (item.parts.empty() ? paused.front() : item.parts.front()) / kSliceTasks != n) {
-        break;
-      }
       progress = std::min(progress, task == nullptr ? Span{0} : task->progress);
       const Wall at = task == nullptr ? Wall{0} : task->since + retry_pause(task->faults);
       soonest = std::min(soonest, at);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -269,7 +269,7 @@
 
 void StoreClient::range(const std::string& prefix, const std::string& after,
                         std::function<void(RangeResult)> then) {
-  std::string path = "/store?starts=" + encode_query(prefix) + "&limit=200";
+  std::string path = "/store?starts=" + encode_query(prefix) + "&limit=1000";
   if (!after.empty()) path += "&after=" + encode_query(after);
   enqueue(Rank::granting, {EVHTTP_REQ_GET, path, {}, "application/json", kDeadline * 2.0}, 0,
           [then = std::move(then)](const HttpReply& reply) {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -114,7 +114,7 @@
       backoff_(Span{100}, Span{1000}),
       pace_{static_cast<std::int64_t>(1000.0 * static_cast<double>(store.limits().nodes) /
                                       (store.limits().rps * kWatchShare))},
-      retry_(loop, [this] { state_ == State::loading ? load("") : follow(); }),
+      retry_(loop, [this] { state_ == State::loading ? load(load_after_) : follow(); }),
       follow_later_(loop, [this] { follow(); }),
       give_up_(loop, [this] { answer_waiting(); }) {}
 
@@ -161,12 +161,16 @@
     load_sent_ = clock_.steady();
     load_sent_wall_ = clock_.wall();
   }
+  // A page that can't be had is asked for again by itself: to begin anew each time would never end
+  // while the requests are short.
+  load_after_ = after;
   store_.range(keys::kLive, after, [this](RangeResult result) {
     if (!result.ok) {
       again();
       return;
     }
     // The watch goes on from the first page's revision, so nothing between the pages is missed.
+    backoff_.reset();
     if (load_from_ == Revision{}) load_from_ = result.revision;
     for (Entry& item : result.items) {
       loading_[item.key] = item.stamp;
--- a/src/store/mirror.hpp
+++ b/src/store/mirror.hpp
@@ -106,6 +106,7 @@
   std::unordered_map<std::string, Stamp> loading_;
   Revision revision_;
   Revision load_from_;
+  std::string load_after_;  // the key before the page that is being loaded
   Steady load_sent_{};
   Wall load_sent_wall_{};
   Steady fresh_until_{};
--- a/tests/added_troubles_test.cpp
+++ b/tests/added_troubles_test.cpp
@@ -8,6 +8,37 @@
 using testing::HolderTest;
 using testing::Script;
 
+TEST(OrderConnections, FollowTheSocketsThatTheMachineHas) {
+  Settings settings;
+  EXPECT_EQ(order_connections(settings), 128U) << "nothing is said of sockets";
+  settings.max_sockets = 5000;
+  EXPECT_EQ(order_connections(settings), 1250U);
+  settings.max_sockets = 10;
+  EXPECT_EQ(order_connections(settings), 32U);
+}
+
+TEST(MirrorLoad, APageThatCannotBeHadIsAskedForAgainByItself) {
+  testing::FakeTime time;
+  Loop loop(&time);
+  testing::ScriptedStore store;
+  store.page = 10;
+  for (int i = 0; i < 35; ++i) {
+    JobRecord job;
+    job.spec = testing::gang("req-" + std::to_string(100 + i), 1, 1, 100);
+    store.put(keys::job(job.spec.uid), encode(job));
+  }
+  Mirror mirror(loop, time, store, 1);
+  store.hold = true;
+  mirror.begin();
+  store.hold = false;
+  store.failing_ranges = 1;
+  store.deliver_all();
+  time.advance(Span{3000});
+  EXPECT_TRUE(mirror.ready());
+  EXPECT_EQ(mirror.records().jobs.size(), 35U);
+  EXPECT_EQ(store.ranges.size(), 5U) << "four pages, one of them twice";
+}
+
 class Troubles : public HolderTest {
  protected:
   [[nodiscard]] MachineState machine_state(const std::string& host = "vm-1") const {
@@ -44,6 +75,57 @@
   EXPECT_EQ(task().state, TaskState::bound);
 }
 
+TEST_F(Troubles, APauseOfThisProcessIsNotTheSilenceOfItsMachines) {
+  hello(1, warrant(), "", "vm-1");
+  hello(1, warrant(), "", "vm-2");
+  run(Span{600});
+  ASSERT_EQ(machine_state("vm-1"), MachineState::up);
+  time_.stand_still(Span{51'000});
+  hello(1, warrant(), "", "vm-2");  // the first to be heard again
+  run(Span{1'000});
+  EXPECT_EQ(machine_state("vm-1"), MachineState::up) << "it has had no time to report";
+  for (int i = 0; i < 4; ++i) {
+    hello(1, warrant(), "", "vm-2");
+    run(Span{3'000});
+  }
+  EXPECT_EQ(machine_state("vm-1"), MachineState::silent);
+}
+
+TEST_F(Troubles, ABlockThatComesTellsMachinesWithWorkFirstAndNotAllAtOnce) {
+  for (int i = 0; i < 300; ++i) {
+    MachineRecord m;
+    m.host = HostId("vm-" + std::to_string(1000 + i));
+    m.address = i == 299 ? "10.1.1.2:9000" : "10.1.1.1:9000";
+    m.build = "g8";
+    m.zone = ZoneId("a");
+    store_.put_machine(m);
+  }
+  JobRecord job{testing::gang("req-1", 1, 1, 100), time_.wall(), std::nullopt};
+  store_.put(keys::job(job.spec.uid), encode(job));
+  SliceRecord slice;
+  slice.uid = job.spec.uid;
+  slice.tasks.resize(1);
+  slice.tasks[0].state = TaskState::bound;
+  slice.tasks[0].attempt = Attempt(1);
+  slice.tasks[0].zone = ZoneId("a");
+  slice.tasks[0].host = HostId("vm-1299");
+  store_.put(keys::slice(slice.uid, 0), encode(slice));
+  store_.put(keys::block(ZoneId("a")),
+             encode(BlockRecord{ZoneId("a"), NodeId("other"), Nonce(9), 2}));
+  run(Span{20});
+  workers_.sent.clear();
+  store_.put(keys::block(ZoneId("a")), encode(BlockRecord{ZoneId("a"), NodeId("me"), Nonce(7), 3}));
+  for (int i = 0; i < 20 && workers_.sent.empty(); ++i) {
+    store_.tell_watch();
+    time_.advance(Span{1});
+  }
+  ASSERT_FALSE(workers_.sent.empty());
+  EXPECT_LT(workers_.sent.size(), 100U);
+  EXPECT_EQ(workers_.sent.front().address, "10.1.1.2:9000") << "the one with work";
+  run(Span{200});
+  EXPECT_EQ(workers_.sent.size(), 300U);
+}
+
 TEST_F(Troubles, AMachineThatReportsButHearsNothingIsGivenUpWithoutFreeingItsTasks) {
   bind_and_start();
   report_for(Span{12'000}, 1);  // the start does not show in any of its reports
