A holder back from a cut does not call its machines silent; pulses are ordered

Changes of a holding that is over are forgotten, silence is judged again when it is written, time without the state service is nobody's silence, and a controller whose session ended must have been back for 6 s before blocks go home.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -95,6 +95,8 @@
 }
 
 void Service::heard(const Pulse& pulse) {
+  // A late copy from an earlier life must not move a block.
+  if (!mirror_.records().alive(NodeId(pulse.node), Nonce(pulse.nonce))) return;
   for (const auto& zone : pulse.complaints) grants_.complaint(ZoneId(zone), NodeId(pulse.node));
 }
 
--- a/src/blocks/grants.cpp
+++ b/src/blocks/grants.cpp
@@ -93,6 +93,9 @@
   timer_.start(kTick);
   if (!election_.in_charge()) return;
   const auto& records = mirror_.records();
+  // One that was cut off and is back has to stay for a while, too, though its life is the same.
+  std::erase_if(alive_since_,
+                [&](const auto& entry) { return !records.nodes.contains(entry.first); });
   for (const auto& [node, stored] : records.nodes) {
     auto& seen = alive_since_[node];
     if (seen.first != stored.record.nonce) seen = {stored.record.nonce, clock_.steady()};
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -167,6 +167,7 @@
     if (holding(zone) == Holding::none) {
       if (warrants_.erase(zone) > 0) {
         std::erase_if(workers_, [&](const auto& entry) { return entry.second.zone == zone; });
+        machines_.forget(zone);
         spdlog::info("holder: block {} is held elsewhere", zone.get());
       }
     } else if (holding(zone) == Holding::held && warrants_[zone] != now) {
@@ -174,6 +175,9 @@
       warrants_[zone] = now;
       if (!fresh) continue;
       first_warrant_[zone] = now;
+      // What an earlier holding wanted to say of its machines is no longer known to be so: a holder
+      // that had been cut off called all of them silent, as soon as it was back.
+      machines_.forget(zone);
       spdlog::info("holder: block {} is ours, warrant {}", zone.get(), now.get());
       // Workers of a holder that is gone are told at once who speaks for the block now.
       for (const auto& [host, machine] : mirror_.records().machines) {
@@ -206,6 +210,8 @@
   });
 }
 
+Span Holder::silence_limit() const { return settings_.workers.report * 2.5; }
+
 Span Holder::answer_limit() const {
   return settings_.workers.cancel - settings_.workers.lease - kCancelMargin;
 }
@@ -395,11 +401,13 @@
   const Wall now = clock_.wall();
   machines_.edit(
       host, it->second.record.zone,
-      [state, blamed = std::move(blamed), recall, now](MachineRecord& record) {
+      [this, host, state, blamed = std::move(blamed), recall, now](MachineRecord& record) {
         if (record.host == HostId{} || record.state == state ||
             record.state >= MachineState::deleting) {
           return MachineWriter::Outcome::none;
         }
+        // Decided some time ago, perhaps: it has been heard of since.
+        if (state == MachineState::silent && !silent(host)) return MachineWriter::Outcome::none;
         record.state = state;
         record.since = now;
         record.blamed = blamed;
@@ -413,6 +421,12 @@
   flush_soon();
 }
 
+bool Holder::silent(const HostId& host) const {
+  const auto worker = workers_.find(host);
+  if (worker == workers_.end()) return false;
+  return worker->second.deaf || clock_.steady() - worker->second.heard >= silence_limit();
+}
+
 void Holder::keep_images() {
   // Only quality depends on them: written while there is budget to spare.
   for (auto& [host, worker] : workers_) {
@@ -919,12 +933,20 @@
 
 void Holder::discount_pause(Steady now) {
   // A process that stood still while the clocks ran on has heard nobody meanwhile, through no fault
-  // of the machines: that time does not count as their silence, nor as starts that don't show.
-  const Span pause = now - last_sweep_ - kSweep;
+  // of the machines: that time does not count as their silence, nor as starts that don't show. The
+  // same goes for time without word of the state service: the block may have another holder by
+  // then, to which they report.
+  Span pause = now - last_sweep_ - kSweep;
   const bool first = last_sweep_.ms < 0;
   last_sweep_ = now;
-  if (first || pause < kPause) return;
-  spdlog::info("holder: stood still for {} ms", pause.ms);
+  if (first) return;
+  if (now - mirror_.fresh_until() >= silence_limit()) {
+    pause = silence_limit();
+  } else if (pause < kPause) {
+    return;
+  } else {
+    spdlog::info("holder: stood still for {} ms", pause.ms);
+  }
   for (auto& [host, worker] : workers_) {
     worker.heard = std::min(now, worker.heard + pause);
     for (auto& [key, since] : worker.starts) since = std::min(now, since + pause);
@@ -952,7 +974,7 @@
   if (warrants_.empty()) return;
 
   // Machines that have stopped reporting. When none of a block reports, the fault may be ours.
-  const Span silence = settings_.workers.report * 2.5;
+  const Span silence = silence_limit();
   std::map<ZoneId, std::pair<int, int>> heard;  // of all, how many lately
   for (const auto& [host, machine] : records.machines) {
     const auto worker = workers_.find(host);
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -130,10 +130,12 @@
   void mark_deaf(const HostId& host, Worker& worker, const char* why);
   void look_for_deaf(const HostId& host, Worker& worker);
   void note_machine(const Report& report, Worker& worker);
+  [[nodiscard]] bool silent(const HostId& host) const;
   void put_machine(const HostId& host, MachineState state, const char* why, Uid blamed = {});
   void keep_images();
   void flush_soon();
   [[nodiscard]] Span answer_limit() const;
+  [[nodiscard]] Span silence_limit() const;
 
   Meter& meter_;
   const Clock& clock_;
--- a/src/peers/pulse.cpp
+++ b/src/peers/pulse.cpp
@@ -17,6 +17,17 @@
 
 std::optional<Pulse> decode_pulse(const std::string& bytes) { return from_bytes<Pulse>(bytes); }
 
+bool PulseOrder::newer(const Pulse& pulse) {
+  auto [it, fresh] = last_.try_emplace(pulse.node, pulse.nonce, pulse.serial);
+  if (fresh) return true;
+  auto& [nonce, serial] = it->second;
+  if (nonce == pulse.nonce && pulse.serial <= serial) return false;
+  // Another life: whether it is the present one is for the records to tell.
+  nonce = pulse.nonce;
+  serial = pulse.serial;
+  return true;
+}
+
 Pulses::Pulses(Loop& loop, const Clock& clock, const Settings& settings, Compose compose,
                Heard heard)
     : clock_(clock),
@@ -35,8 +46,11 @@
     responder->reply(400, "{}");
     return;
   }
-  heard_(*pulse);
-  responder->reply(200, encode(compose_()));
+  if (order_.newer(*pulse)) heard_(*pulse);
+  Pulse answer = compose_();
+  answer.serial = ++serial_;
+  answer.answers = pulse->serial;
+  responder->reply(200, encode(answer));
 }
 
 void Pulses::begin() { timer_.start({200}); }
@@ -44,18 +58,25 @@
 void Pulses::tick() {
   timer_.start(kEvery);
   const Steady now = clock_.steady();
-  const std::string body = encode(compose_());
+  Pulse pulse = compose_();
+  pulse.serial = ++serial_;
+  const std::string body = encode(pulse);
   for (auto& [node, peer] : peers_) {
     if (peer.busy) continue;
     peer.busy = true;
+    peer.serial = pulse.serial;
     peer.client->send({EVHTTP_REQ_POST, kPath, body, "application/octet-stream", kDeadline},
                       [this, now, name = node](const HttpReply& reply) {
                         PeerState& state = peers_.at(name);
                         state.busy = false;
                         if (reply.status != 200) return;
-                        state.last = decode_pulse(reply.body);
+                        auto answer = decode_pulse(reply.body);
+                        // Its age counts from what it answers, and an answer to anything but this
+                        // question tells nothing of now.
+                        if (!answer || answer->answers != state.serial) return;
+                        state.last = std::move(answer);
                         state.asked = now;
-                        if (state.last) heard_(*state.last);
+                        if (order_.newer(*state.last)) heard_(*state.last);
                       });
   }
 }
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -16,13 +16,15 @@
 struct Pulse {
   std::string node;
   std::uint64_t nonce = 0;
+  std::uint64_t serial = 0;             // rises with every pulse of this life
+  std::uint64_t answers = 0;            // in an answer: the serial of the pulse that it answers
   bool state_ok = false;                // the state service answers this node
   std::int64_t last_cancel_ms = 0;      // time of day of its last (possible) acceptance of a cancel
   std::vector<std::string> complaints;  // zones whose workers can't reach their holder
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(node, nonce, state_ok, last_cancel_ms, complaints);
+    archive(node, nonce, serial, answers, state_ok, last_cancel_ms, complaints);
   }
 };
 
@@ -30,6 +32,16 @@
 /// Nothing for what can't be read.
 std::optional<Pulse> decode_pulse(const std::string& bytes);
 
+/// Which pulses are news: a copy of one may come seconds or minutes later.
+class PulseOrder {
+ public:
+  /// False for one that was heard before, or that was sent before one that was heard.
+  bool newer(const Pulse& pulse);
+
+ private:
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> last_;  // nonce and serial
+};
+
 class Pulses {
  public:
   static constexpr const char* kPath = "/pulse";
@@ -52,7 +64,8 @@
     std::unique_ptr<HttpClient> client;
     bool busy = false;
     std::optional<Pulse> last;
-    Steady asked;  // when the request that brought `last` was sent
+    Steady asked;              // when the request that brought `last` was sent
+    std::uint64_t serial = 0;  // of the request that waits for its answer
   };
   void tick();
 
@@ -60,6 +73,8 @@
   const Settings& settings_;
   Compose compose_;
   Heard heard_;
+  PulseOrder order_;
+  std::uint64_t serial_ = 0;
   std::map<NodeId, PeerState> peers_;
   Timer timer_;
 };
--- a/src/store/machine_writer.cpp
+++ b/src/store/machine_writer.cpp
@@ -9,7 +9,12 @@
 
 void MachineWriter::edit(const HostId& host, const ZoneId& zone, Edit edit,
                          std::function<void()> then) {
-  edits_[host] = {zone, std::move(edit), std::move(then)};
+  edits_[host] = {zone, std::move(edit), std::move(then), epochs_[zone]};
+}
+
+void MachineWriter::forget(const ZoneId& zone) {
+  ++epochs_[zone];
+  std::erase_if(edits_, [&](const auto& entry) { return entry.second.zone == zone; });
 }
 
 void MachineWriter::flush() {
@@ -76,7 +81,7 @@
     for (const auto& [host, change] : going) {
       if (r.fate == Fate::done) {
         if (change.then) change.then();
-      } else {
+      } else if (change.epoch == epochs_[change.zone]) {
         // Decided anew from the records at the next flush, unless something newer is wanted by
         // then.
         edits_.try_emplace(host, change);
--- a/src/store/machine_writer.hpp
+++ b/src/store/machine_writer.hpp
@@ -29,12 +29,16 @@
   /// Commits what waits, page by page, as far as no commit of the same page is on its way.
   void flush();
   void forget_all() { edits_.clear(); }
+  /// What waits for the zone's machines: its reasons were those of a holding that is over.
+  /// A commit of them that is on its way is not tried again.
+  void forget(const ZoneId& zone);
 
  private:
   struct Change {
     ZoneId zone;
     Edit edit;
     std::function<void()> then;
+    std::uint64_t epoch = 0;  // of its zone when it was asked for
   };
   void write(const std::string& page, const std::vector<HostId>& hosts);
 
@@ -42,7 +46,8 @@
   Rank rank_;
   Guard guard_;
   std::map<HostId, Change> edits_;
-  std::set<std::string> writing_;  // pages
+  std::map<ZoneId, std::uint64_t> epochs_;  // how often a zone's changes were forgotten
+  std::set<std::string> writing_;           // pages
 };
 
 }  // namespace marblevale
--- a/tests/added_troubles_test.cpp
+++ b/tests/added_troubles_test.cpp
@@ -91,6 +91,27 @@
   EXPECT_EQ(machine_state("vm-1"), MachineState::silent);
 }
 
+TEST_F(Troubles, AHolderThatWasCutOffDoesNotCallItsMachinesSilentWhenItIsBack) {
+  hello(1, warrant(), "", "vm-1");
+  hello(1, warrant(), "", "vm-2");
+  run(Span{600});
+  ASSERT_EQ(machine_state("vm-1"), MachineState::up);
+  // Cut off from the state service; its workers have gone to the block's new holder, but for one.
+  informed_ = false;
+  for (int i = 0; i < 10; ++i) {
+    hello(1, warrant(), "", "vm-2");
+    store_.scripts.assign(20, Script::refuse);
+    run(Span{3000});
+  }
+  store_.put(keys::block(ZoneId("a")),
+             encode(BlockRecord{ZoneId("a"), NodeId("other"), Nonce(9), 2}));
+  store_.put(keys::block(ZoneId("a")), encode(BlockRecord{ZoneId("a"), NodeId("me"), Nonce(7), 3}));
+  store_.scripts.clear();
+  informed_ = true;
+  run(Span{2000});
+  EXPECT_EQ(machine_state("vm-1"), MachineState::up) << "it may have reported elsewhere";
+}
+
 TEST_F(Troubles, ABlockThatComesTellsMachinesWithWorkFirstAndNotAllAtOnce) {
   for (int i = 0; i < 300; ++i) {
     MachineRecord m;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -243,6 +243,23 @@
   EXPECT_FALSE(parse_task_id("req-1/99999999999"));
 }
 
+TEST(Pulses, ALateCopyIsNoNews) {
+  PulseOrder order;
+  Pulse pulse;
+  pulse.node = "n1";
+  pulse.nonce = 7;
+  pulse.serial = 5;
+  EXPECT_TRUE(order.newer(pulse));
+  EXPECT_FALSE(order.newer(pulse)) << "the same again";
+  pulse.serial = 4;
+  EXPECT_FALSE(order.newer(pulse)) << "sent before it";
+  pulse.serial = 6;
+  EXPECT_TRUE(order.newer(pulse));
+  pulse.nonce = 8;
+  pulse.serial = 1;
+  EXPECT_TRUE(order.newer(pulse)) << "another life counts anew";
+}
+
 TEST(Pulses, SurviveCutAndTwistedBytes) {
   Pulse pulse;
   pulse.node = "n1";
