--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -86,6 +86,9 @@
     pulse.complaints.push_back(zone.get());
     grants_.complaint(zone, settings_.node);
   }
+  const auto dark = holder_.dark();
+  for (const ZoneId& zone : dark) pulse.dark.push_back(zone.get());
+  granting_.out_of_reach(settings_.node, dark);
   if (!pulse.state_ok && mirror_.ready()) {
     if (const auto since = pulses_.no_cancel_since(mirror_.fresh_until_wall())) {
       holder_.extend_freshness(*since);
@@ -97,6 +100,9 @@
 void Service::heard(const Pulse& pulse) {
   // A late copy from an earlier life must not move a block.
   if (!mirror_.records().alive(NodeId(pulse.node), Nonce(pulse.nonce))) return;
+  std::set<ZoneId> dark;
+  for (const auto& zone : pulse.dark) dark.emplace(zone);
+  granting_.out_of_reach(NodeId(pulse.node), dark);
   for (const auto& zone : pulse.complaints) grants_.complaint(ZoneId(zone), NodeId(pulse.node));
 }
 
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kMostWoken = 64;   // machines that get orders in one round
 constexpr Span kPause{3'000};            // between two sweeps: this process stood still
 constexpr double kUnheardReports = 2.5;  // reports after which a start must show
+constexpr int kUnheardAnswers = 2;
 constexpr Span kOfferLife{2'500};
 constexpr std::size_t kMostOffers = 200;
 constexpr double kMuchSlack = 0.5;  // of the budget for writes
@@ -237,6 +238,21 @@
   return out;
 }
 
+std::set<ZoneId> Holder::dark() const {
+  std::set<ZoneId> out;
+  for (const auto& [zone, warrant] : warrants_) {
+    if (holding(zone) == Holding::held) out.insert(zone);
+  }
+  const Steady now = clock_.steady();
+  for (const auto& [host, worker] : workers_) {
+    if (out.empty()) break;
+    if (worker.introduced != Warrant{} && now - worker.heard < silence_limit()) {
+      out.erase(worker.zone);
+    }
+  }
+  return out;
+}
+
 HelloAnswer Holder::hello(std::string_view body) {
   const auto timed = meter_.time(Duty::report);
   const auto report = parse_report(body);
@@ -286,7 +302,7 @@
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.answered_starts[{order.id, order.attempt}] = report->tally;
-      worker.starts.try_emplace({order.id, order.attempt}, now);
+      ++worker.starts.try_emplace({order.id, order.attempt}, Unseen{now}).first->second.answers;
     }
   }
   return {200, write_answer(warrant, orders)};
@@ -295,6 +311,7 @@
 bool Holder::absorb(Worker& worker, const Report& report) {
   const Tenure before = worker.view.tenure;
   if (!worker.view.take(report)) return false;
+  if (report.tenure > before) worker.starts.clear();  // what was sent to the old session is void
   // Its lease has lapsed though its reports were answered: nothing that is said to it arrives.
   if (before != Tenure{} && report.tenure > before &&
       clock_.steady() - worker.answered < settings_.workers.lease) {
@@ -339,9 +356,10 @@
   // It reports, but a start that was sent to it again and again does not show.
   const Steady now = clock_.steady();
   bool unheard = false;
-  for (const auto& [key, since] : worker.starts) {
-    unheard = unheard || (now - since > settings_.workers.report * kUnheardReports &&
-                          !worker.view.tasks.contains(key));
+  for (const auto& [key, unseen] : worker.starts) {
+    // A machine that hung has not reported meanwhile: only answers that it should have had count.
+    unheard = unheard || (now - unseen.since > settings_.workers.report * kUnheardReports &&
+                          unseen.answers >= kUnheardAnswers && !worker.view.tasks.contains(key));
   }
   if (unheard && now - worker.heard < settings_.workers.report * 2.0) {
     mark_deaf(host, worker, "its starts do not show");
@@ -902,7 +920,7 @@
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.direct_starts[{order.id, order.attempt}] = warrant;
-      worker.starts.try_emplace({order.id, order.attempt}, clock_.steady());
+      worker.starts.try_emplace({order.id, order.attempt}, Unseen{clock_.steady()});
     }
   }
   worker.direct_busy = true;
@@ -949,7 +967,7 @@
   }
   for (auto& [host, worker] : workers_) {
     worker.heard = std::min(now, worker.heard + pause);
-    for (auto& [key, since] : worker.starts) since = std::min(now, since + pause);
+    for (auto& [key, unseen] : worker.starts) unseen.since = std::min(now, unseen.since + pause);
   }
 }
 
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -73,12 +73,20 @@
 
   /// Zones whose workers come here again and again though another controller holds the block.
   [[nodiscard]] std::vector<ZoneId> complaints();
+  /// Zones that are held here while none of their machines is heard: cut off, or not met yet.
+  [[nodiscard]] std::set<ZoneId> dark() const;
   /// The latest moment up to which no cancellation can have been accepted that we do not know of.
   void extend_freshness(Steady until);
 
  private:
   enum class Holding { none, settling, held };
 
+  /// A start that does not show in the machine's reports.
+  struct Unseen {
+    Steady since;
+    int answers = 0;  // to reports, each of which bore it
+  };
+
   struct Worker {
     WorkerView view;
     ZoneId zone;
@@ -91,7 +99,7 @@
     Warrant introduced;  // the warrant under which it is known to have heard of us; 0: not known
     bool deaf = false;   // it reports, but nothing that is said to it arrives
     Steady answered{-1'000'000};                          // its last report that was
-    std::map<std::pair<TaskId, Attempt>, Steady> starts;  // sent and not seen yet, since when
+    std::map<std::pair<TaskId, Attempt>, Unseen> starts;  // sent and not seen yet
     Steady last_introduction{-1'000'000};
   };
 
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -21,10 +21,11 @@
   bool state_ok = false;                // the state service answers this node
   std::int64_t last_cancel_ms = 0;      // time of day of its last (possible) acceptance of a cancel
   std::vector<std::string> complaints;  // zones whose workers can't reach their holder
+  std::vector<std::string> dark;        // zones that this node holds and can't reach
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(node, nonce, serial, answers, state_ok, last_cancel_ms, complaints);
+    archive(node, nonce, serial, answers, state_ok, last_cancel_ms, complaints, dark);
   }
 };
 
--- a/src/planner/displacement.cpp
+++ b/src/planner/displacement.cpp
@@ -36,7 +36,8 @@
     const MachineType* type = records.type(m.build);
     if (type == nullptr) continue;
     Place place{host, m.zone, type->room, 0, {}};
-    if (const auto lane = profile.find(host)) {
+    const auto lane = profile.find(host);
+    if (lane) {
       place.fetch = profile.fetch_time(spec, profile.machines()[*lane]).seconds();
     }
     if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
@@ -69,7 +70,8 @@
     rules.zone = m.zone;
     rules.spot = m.spot;
     rules.room = type->room;
-    const bool usable = m.state == MachineState::up && !m.recall && Profile::allowed(spec, rules) &&
+    const bool usable = lane && m.state == MachineState::up && !m.recall &&
+                        Profile::allowed(spec, rules) &&
                         (!item.demand.zone || *item.demand.zone == m.zone);
     if (usable) places.push_back(std::move(place));
   }
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -31,6 +31,7 @@
 constexpr double kSweepSlack = 0.6;
 constexpr std::size_t kMostLeft = 1000;
 constexpr std::size_t kSmallPiece = 8;
+constexpr Span kDarkLife{4'000};  // of a holder's word that it reaches no machine of a zone
 constexpr Span kOfferPatience{3'500};
 constexpr Span kPieceEvery{3'000};
 constexpr Span kPersistLater{5'000};
@@ -168,6 +169,7 @@
   Occupancy::Slices ahead;
   for (const auto& [key, pending] : pending_) ahead.emplace(key, &pending.slice);
   const Wall now = clock_.wall();
+  occupancy_.set_dark(dark_zones(), mirror_.records());
   occupancy_.sync(mirror_.records(), settings_.teams, ahead, fleet_.booting(), now);
   auto queue = build_queue(
       mirror_.records(), settings_,
@@ -191,8 +193,8 @@
   }
   for (const Moved& moved : planner.restore(pins)) {
     note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
-                        " s later: tasks before it overran, a machine was lost, or "
-                        "room was made there for a job that goes first");
+                        " s later: tasks before it overran, a machine was lost or out of reach, "
+                        "or room was made there for a job that goes first");
   }
   const bool admitted = planner.admit_arrivals();
   // What was started is taken out of the queue by the next round, which sees it as placed.
@@ -218,6 +220,21 @@
   if (!admitted || cursor_ != 0) wake();
 }
 
+void Granting::out_of_reach(const NodeId& holder, std::set<ZoneId> zones) {
+  out_of_reach_[holder] = {std::move(zones), clock_.steady()};
+}
+
+std::set<ZoneId> Granting::dark_zones() const {
+  // Nothing could be bound there: jobs would be released there and given back, again and again.
+  std::set<ZoneId> out;
+  for (const auto& [zone, block] : mirror_.records().blocks) {
+    const auto said = out_of_reach_.find(block.record.holder);
+    if (said == out_of_reach_.end() || clock_.steady() - said->second.second > kDarkLife) continue;
+    if (said->second.first.contains(zone)) out.insert(zone);
+  }
+  return out;
+}
+
 void Granting::note(const Uid& uid, std::string what) {
   auto& list = notes_[uid];
   if (list.size() < 16) list.push_back({clock_.wall(), std::move(what)});
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -26,6 +26,8 @@
   void begin();
   /// Releases go to holders by this as well; without it they are committed first.
   void release_through(OfferChannel& channel) { channel_ = &channel; }
+  /// What a controller says of the zones that it holds: in these it reaches no machine.
+  void out_of_reach(const NodeId& holder, std::set<ZoneId> zones);
 
  private:
   enum class State { idle, leading };
@@ -49,6 +51,7 @@
   void take_over();
   void noticed(Topic topic, const std::string& key);
   void housekeep();
+  [[nodiscard]] std::set<ZoneId> dark_zones() const;
   bool end_job(const Uid& uid, const Stored<JobRecord>& job);
   void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
@@ -84,6 +87,7 @@
   std::vector<std::pair<Txn, std::vector<SliceRecord>>> unknown_;  // commits without an answer
   std::map<SliceKey, Offered> offered_;
   OfferChannel* channel_ = nullptr;
+  std::map<NodeId, std::pair<std::set<ZoneId>, Steady>> out_of_reach_;  // and when that was said
   std::set<Uid> ending_;
   std::unordered_map<Uid, std::vector<Note>> notes_;  // not yet in the state service
   struct MadeRoom {
--- a/src/planner/occupancy.cpp
+++ b/src/planner/occupancy.cpp
@@ -89,7 +89,7 @@
   bool usable = false;
   if (record != records.machines.end()) {
     const MachineRecord& m = record->second.record;
-    usable = m.state == MachineState::up && !m.recall;
+    usable = m.state == MachineState::up && !m.recall && !dark_.contains(m.zone);
     wanted.build = m.build;
     wanted.zone = m.zone;
     wanted.spot = m.spot;
@@ -108,7 +108,9 @@
   if (!usable) {
     if (!there) return;
     profile_.remove_machine(*there);
-    images_.forget(host);
+    if (record == records.machines.end() || !dark_.contains(record->second.record.zone)) {
+      images_.forget(host);
+    }
     return;
   }
   if (there) {
@@ -167,6 +169,15 @@
   }
 }
 
+void Occupancy::set_dark(const std::set<ZoneId>& zones, const Records& records) {
+  if (zones == dark_) return;
+  for (const auto& [host, machine] : records.machines) {
+    const ZoneId& zone = machine.record.zone;
+    if (zones.contains(zone) != dark_.contains(zone)) machines_.insert(host);
+  }
+  dark_ = zones;
+}
+
 void Occupancy::sync(const Records& records, const std::vector<Team>& teams, const Slices& pending,
                      const std::vector<Booting>& booting, Wall now) {
   if (whole_) {
--- a/src/planner/occupancy.hpp
+++ b/src/planner/occupancy.hpp
@@ -47,6 +47,8 @@
   /// Everything is taken in anew at the next `sync`.
   void reset() { whole_ = true; }
 
+  /// Zones whose machines can't be reached: nothing is to be placed there meanwhile.
+  void set_dark(const std::set<ZoneId>& zones, const Records& records);
   /// Takes in what was touched. `pending` are slices as this controller has committed them, or is
   /// about to, and that the records may not show yet.
   void sync(const Records& records, const std::vector<Team>& teams, const Slices& pending,
@@ -66,6 +68,7 @@
   Profile profile_;
   ImageGuess images_;
   bool whole_ = true;
+  std::set<ZoneId> dark_;
   std::set<HostId> machines_;
   std::set<SliceKey> slices_;
   std::map<HostId, Booting> booting_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -20,7 +20,10 @@
 constexpr double kStep = 0.025;      // of the published rate, each time
 constexpr double kGiveWay = 0.75;
 constexpr Span kAdaptEvery{500};
-constexpr double kSubmissionShare = 0.6;  // of a node's writes: bindings must not starve
+constexpr double kSubmissionShare = 0.6;  // of the published writes: bindings must not starve
+// A user waits for a submission, so it may be sent ahead of the share, as far as an equal share of
+// a second: the others seldom use all of theirs, and 429 costs nothing but a repetition.
+constexpr double kSubmissionCredit = 1.0;
 constexpr Span kAgainAfter{40};
 constexpr int kAgain = 3;
 constexpr Span kRefusedLately{3'000};
@@ -130,7 +133,7 @@
       watch_http_(loop, at, 1, 2),
       requests_(equal_share(limits.rps), equal_share(limits.rps)),
       writes_(equal_share(limits.write_rps), equal_share(limits.write_rps)),
-      submissions_(writes_.rate() * kSubmissionShare, writes_.rate() * kSubmissionShare),
+      submissions_(limits.write_rps * kSubmissionShare, limits.write_rps * kSubmissionShare),
       pump_timer_(loop, [this] { pump(); }),
       adapt_timer_(loop, [this] { adapt(); }) {
   adapt_timer_.start(kAdaptEvery);
@@ -147,7 +150,6 @@
   };
   if (short_of_requests_) more(requests_, limits_.rps);
   if (short_of_writes_) more(writes_, limits_.write_rps);
-  submissions_.set_rate(writes_.rate() * kSubmissionShare);
   short_of_requests_ = short_of_writes_ = false;
 }
 
@@ -164,6 +166,10 @@
   if (writes) less(writes_, limits_.write_rps);
 }
 
+double StoreClient::credit(Rank rank) const {
+  return rank == Rank::submission ? equal_share(limits_.write_rps) * kSubmissionCredit : 0;
+}
+
 double StoreClient::write_slack() {
   for (std::size_t rank = 0; rank <= static_cast<std::size_t>(Rank::granting); ++rank) {
     if (!queues_.at(rank).empty()) return 0;
@@ -187,7 +193,8 @@
       for (const Job& job : queues_.at(before)) ahead += job.writes;
     }
     const Steady now = clock_.steady();
-    if (!submissions_.take(now, writes) || writes_.wait(now, ahead) > kUserQueueTime) {
+    if (!submissions_.take(now, writes) ||
+        writes_.wait(now, ahead, -credit(rank)) > kUserQueueTime) {
       short_of_writes_ = true;
       meter_.count("submissions over the budget");
       then({0, true, {}});
@@ -204,7 +211,9 @@
 void StoreClient::pump() {
   const Steady now = clock_.steady();
   bool writes_stopped = false;  // what is less important must not overtake, unless it only reads
-  for (auto& queue : queues_) {
+  for (std::size_t rank = 0; rank < queues_.size(); ++rank) {
+    auto& queue = queues_.at(rank);
+    const double keep = -credit(static_cast<Rank>(rank));
     while (!queue.empty()) {
       Job& front = queue.front();
       if (front.expires < now) {
@@ -215,7 +224,7 @@
         continue;
       }
       const Span for_request = requests_.wait(now, 1);
-      const Span for_writes = front.writes > 0 ? writes_.wait(now, front.writes) : Span{0};
+      const Span for_writes = front.writes > 0 ? writes_.wait(now, front.writes, keep) : Span{0};
       const Span wait = std::max(for_request, for_writes);
       if (wait > Span{0} && !pump_timer_.pending()) pump_timer_.start(wait);
       if (for_request > Span{0}) {
@@ -227,7 +236,7 @@
         break;
       }
       requests_.take(now, 1);
-      if (front.writes > 0) writes_.take(now, front.writes);
+      if (front.writes > 0) writes_.take(now, front.writes, keep);
       Job job = std::move(front);
       queue.pop_front();
       send(std::move(job));
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -141,6 +141,8 @@
   void enqueue(Rank rank, HttpCall call, double writes, HttpHandler then);
   void pump();
   [[nodiscard]] double equal_share(double rate) const;
+  /// How many writes of this rank may be sent ahead of the budget.
+  [[nodiscard]] double credit(Rank rank) const;
   void adapt();
   void give_way(bool writes);
 
--- a/tests/added_troubles_test.cpp
+++ b/tests/added_troubles_test.cpp
@@ -112,6 +112,34 @@
   EXPECT_EQ(machine_state("vm-1"), MachineState::up) << "it may have reported elsewhere";
 }
 
+TEST_F(Troubles, AMachineThatHungAndIsBackIsNotTakenForDeaf) {
+  hello(1, warrant());
+  release();
+  run(Span{50});
+  ASSERT_EQ(task().state, TaskState::bound);
+  run(Span{20'000});  // it hangs: the start can't show
+  hello(1, warrant());
+  run(Span{600});
+  hello(1, warrant(), part("fetching"));
+  run(Span{600});
+  EXPECT_EQ(machine_state(), MachineState::up);
+}
+
+TEST_F(Troubles, AZoneIsDarkUntilOneOfItsMachinesIsHeard) {
+  MachineRecord m;
+  m.host = HostId("vm-1");
+  m.address = "10.1.0.1:9000";
+  m.build = "g8";
+  m.zone = ZoneId("a");
+  store_.put_machine(m);
+  run(Span{20});
+  EXPECT_EQ(holder_.dark(), std::set<ZoneId>{ZoneId("a")});
+  hello(1, warrant());
+  EXPECT_TRUE(holder_.dark().empty());
+  run(Span{8'000});
+  EXPECT_EQ(holder_.dark(), std::set<ZoneId>{ZoneId("a")}) << "no report for 2.5 times";
+}
+
 TEST_F(Troubles, ABlockThatComesTellsMachinesWithWorkFirstAndNotAllAtOnce) {
   for (int i = 0; i < 300; ++i) {
     MachineRecord m;
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -231,6 +231,21 @@
   EXPECT_EQ(released, 200U) << "not one slice after the other";
 }
 
+TEST_F(LeaderTest, NothingIsReleasedToAZoneThatItsHolderDoesNotReach) {
+  machine("vm-1");
+  store_.put(keys::block(ZoneId("a")), encode(BlockRecord{ZoneId("a"), NodeId("me"), Nonce(7), 1}));
+  begin();
+  granting_.out_of_reach(NodeId("me"), {ZoneId("a")});
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{1000});
+  EXPECT_TRUE(tasks("req-1").empty());
+  granting_.out_of_reach(NodeId("other"), {ZoneId("a")});  // not the holder: its word is nothing
+  granting_.out_of_reach(NodeId("me"), {});
+  run(Span{1000});
+  ASSERT_EQ(tasks("req-1").size(), 1U);
+  EXPECT_EQ(tasks("req-1")[0].state, TaskState::released);
+}
+
 TEST_F(LeaderTest, ALongArrayCostsNoMoreSlicesThanItCanUse) {
   machine("vm-1");
   begin();
