--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -68,9 +68,7 @@
 }
 
 bool Service::healthy() {
-  // A controller that alone lacks the state service sends users elsewhere; when all lack it, being
-  // skipped would only cost time afterwards.
-  const bool now = mirror_.ready() && (state_answers(kAloneSilence) || !pulses_.peer_has_state());
+  const bool now = takes_users(mirror_.ready(), state_answers(kAloneSilence), pulses_.peers_say());
   if (now != healthy_) spdlog::info("service: {}", now ? "takes users" : "sends users elsewhere");
   healthy_ = now;
   return now;
--- a/src/peers/pulse.cpp
+++ b/src/peers/pulse.cpp
@@ -1,5 +1,6 @@
 #include "peers/pulse.hpp"
 
+#include <algorithm>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -81,11 +82,18 @@
   }
 }
 
-bool Pulses::peer_has_state() const {
+bool takes_users(bool loaded, bool state_answers, PeersSay peers) {
+  if (!loaded || state_answers) return loaded;
+  return peers == PeersSay::no_peers || peers == PeersSay::no_state;
+}
+
+PeersSay Pulses::peers_say() const {
+  PeersSay out = peers_.empty() ? PeersSay::no_peers : PeersSay::nothing;
   for (const auto& [node, peer] : peers_) {
-    if (peer.last && peer.last->state_ok && clock_.steady() - peer.asked < kLife) return true;
+    if (!peer.last || clock_.steady() - peer.asked >= kLife) continue;
+    out = std::max(out, peer.last->state_ok ? PeersSay::state : PeersSay::no_state);
   }
-  return false;
+  return out;
 }
 
 std::optional<Steady> Pulses::no_cancel_since(Wall known) const {
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -33,6 +33,14 @@
 /// Nothing for what can't be read.
 std::optional<Pulse> decode_pulse(const std::string& bytes);
 
+/// What the other controllers said of the state service within the last seconds.
+enum class PeersSay { no_peers, nothing, no_state, state };
+
+/// Whether users are to come here. A controller that alone lacks the state service sends them
+/// elsewhere, and so does one that has no word of its peers either: it is cut off, and the others
+/// are probably not. When all lack it, being skipped would only cost time afterwards.
+bool takes_users(bool loaded, bool state_answers, PeersSay peers);
+
 /// Which pulses are news: a copy of one may come seconds or minutes later.
 class PulseOrder {
  public:
@@ -54,8 +62,7 @@
   /// A peer's request on `kPath`.
   void serve(const HttpRequest& request, const ResponderPtr& responder);
 
-  /// True when some peer said within the last seconds that the state service answers it.
-  [[nodiscard]] bool peer_has_state() const;
+  [[nodiscard]] PeersSay peers_say() const;
   /// When every peer answered the last round with no cancellation accepted since `known`: the time
   /// at which that round was sent.
   [[nodiscard]] std::optional<Steady> no_cancel_since(Wall known) const;
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -243,6 +243,15 @@
   EXPECT_FALSE(parse_task_id("req-1/99999999999"));
 }
 
+TEST(Pulses, AControllerThatIsCutOffSendsUsersElsewhere) {
+  EXPECT_FALSE(takes_users(false, true, PeersSay::state)) << "it has not loaded the records";
+  EXPECT_TRUE(takes_users(true, true, PeersSay::nothing));
+  EXPECT_FALSE(takes_users(true, false, PeersSay::state)) << "it alone lacks the state service";
+  EXPECT_FALSE(takes_users(true, false, PeersSay::nothing)) << "it lacks its peers as well";
+  EXPECT_TRUE(takes_users(true, false, PeersSay::no_state)) << "all lack it";
+  EXPECT_TRUE(takes_users(true, false, PeersSay::no_peers));
+}
+
 TEST(Pulses, ALateCopyIsNoNews) {
   PulseOrder order;
   Pulse pulse;
