--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -958,6 +958,13 @@
   const bool first = last_sweep_.ms < 0;
   last_sweep_ = now;
   if (first) return;
+  // A zone that comes into reach is met machine by machine: the first must not make the rest
+  // silent.
+  std::set<ZoneId> still_dark = dark();
+  for (auto& [host, worker] : workers_) {
+    if (dark_.contains(worker.zone) && !still_dark.contains(worker.zone)) worker.heard = now;
+  }
+  dark_ = std::move(still_dark);
   if (now - mirror_.fresh_until() >= silence_limit()) {
     pause = silence_limit();
   } else if (pause < kPause) {
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -167,6 +167,7 @@
   std::map<ZoneId, std::map<HostId, std::vector<Steady>>> strays_;
   Steady extended_fresh_{};
   Steady last_sweep_{-1'000'000};
+  std::set<ZoneId> dark_;  // at the last sweep
   Timer flush_timer_;
   Timer round_timer_;
   Timer sweep_timer_;
--- a/tests/added_troubles_test.cpp
+++ b/tests/added_troubles_test.cpp
@@ -138,6 +138,9 @@
   EXPECT_TRUE(holder_.dark().empty());
   run(Span{8'000});
   EXPECT_EQ(holder_.dark(), std::set<ZoneId>{ZoneId("a")}) << "no report for 2.5 times";
+  hello(1, warrant(), "", "vm-2");  // the zone is in reach again: the first of its machines
+  run(Span{2'000});
+  EXPECT_EQ(machine_state(), MachineState::up) << "the others have had no time to report";
 }
 
 TEST_F(Troubles, ABlockThatComesTellsMachinesWithWorkFirstAndNotAllAtOnce) {
