--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -166,7 +166,19 @@
   list_pages_ = pages;
   last_list_ = sent;
   last_seen_ = std::move(seen);
-  std::erase_if(listed_, [this](const auto& entry) { return !last_seen_.contains(entry.first); });
+  // A list may be older than the one before it, by up to twice the lag: only one that must be newer
+  // than the last that had a machine shows that the machine is gone. Its tasks come free by the
+  // deletion, without waiting for its silence.
+  std::vector<HostId> vanished;
+  for (const auto& [host, entry] : listed_) {
+    if (!last_seen_.contains(host) && sent - settings_.list_lag * 2.0 > entry.seen) {
+      vanished.push_back(host);
+    }
+  }
+  for (const HostId& host : vanished) {
+    listed_.erase(host);
+    if (mirror_.records().machines.contains(host)) condemn(host, "no longer listed");
+  }
 }
 
 void Fleet::ask(const HireRecord& hire, Stamp stamp) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -72,9 +72,9 @@
   Steady list_at_{-1'000'000};
   Steady charge_since_{};
   bool in_charge_ = false;
-  std::map<HostId, Listed> listed_;
-  Steady last_list_{};          // when the last full list was asked for
-  std::set<HostId> last_seen_;  // what it held
+  std::map<HostId, Listed> listed_;  // until it is sure that they are listed no longer
+  Steady last_list_{};               // when the last full list was asked for
+  std::set<HostId> last_seen_;       // what it held
   std::map<Offer, Refusal> refused_;
   std::set<std::string> asking_;
   MachineWriter machines_;
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -17,7 +17,7 @@
     then(std::nullopt);
   }
   void list(const HostId&, std::function<void(std::optional<MachineList>)> then) override {
-    then(std::nullopt);
+    then(listing);
   }
   void hire(const std::string& name, const std::string&, const ZoneId&, bool, std::uint32_t,
             std::function<void(HireFate, std::vector<HostId>)> then) override {
@@ -31,6 +31,7 @@
   std::vector<std::string> hires;
   std::vector<HostId> removed;
   bool removes = true;
+  std::optional<MachineList> listing;  // none: no answer
 };
 
 class LeaderTest : public ::testing::Test {
@@ -231,6 +232,21 @@
   EXPECT_EQ(released, 200U) << "not one slice after the other";
 }
 
+TEST_F(LeaderTest, OnlyAListThatMustBeNewerShowsThatAMachineIsGone) {
+  settings_.list_lag = Span{4'000};
+  machine("vm-1");
+  cloud_.listing.emplace();
+  cloud_.listing->machines.push_back(
+      {HostId("vm-1"), "", "g8", ZoneId("a"), false, RentalStatus::running, Span{60'000}});
+  begin();
+  run(Span{3'000});
+  cloud_.listing->machines.clear();
+  run(Span{7'000});
+  EXPECT_TRUE(cloud_.removed.empty()) << "the list may be older than the one that had it";
+  run(Span{5'000});
+  EXPECT_EQ(cloud_.removed, std::vector<HostId>{HostId("vm-1")});
+}
+
 TEST_F(LeaderTest, NothingIsReleasedToAZoneThatItsHolderDoesNotReach) {
   machine("vm-1");
   store_.put(keys::block(ZoneId("a")), encode(BlockRecord{ZoneId("a"), NodeId("me"), Nonce(7), 1}));
