--- a/src/planner/displacement.cpp
+++ b/src/planner/displacement.cpp
@@ -14,7 +14,8 @@
 std::optional<Displacement> find_room(const QueueItem& item,
                                       const std::unordered_set<Uid>& guaranteed,
                                       const Records& records, const Settings& settings,
-                                      const Profile& profile, Wall now) {
+                                      const Profile& profile, Wall now,
+                                      const std::set<HostId>& others) {
   const JobSpec& spec = *item.demand.job;
   const Team* team = settings.team(spec.crew);
   struct Victim {
@@ -70,10 +71,14 @@
     rules.zone = m.zone;
     rules.spot = m.spot;
     rules.room = type->room;
-    const bool usable = lane && m.state == MachineState::up && !m.recall &&
-                        Profile::allowed(spec, rules) &&
+    const bool usable = lane && !others.contains(host) && m.state == MachineState::up &&
+                        !m.recall && Profile::allowed(spec, rules) &&
                         (!item.demand.zone || *item.demand.zone == m.zone);
-    if (usable) places.push_back(std::move(place));
+    if (!usable) continue;
+    // Those that lose least first.
+    std::sort(place.victims.begin(), place.victims.end(),
+              [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
+    places.push_back(std::move(place));
   }
   const Room all = spec.need * static_cast<double>(item.demand.tasks);
   const std::uint32_t tasks = spec.gang() ? item.demand.tasks : 1;
@@ -96,23 +101,19 @@
     std::vector<HostId> hosts;
     double loss = 0;
     std::uint32_t found = 0;
-    std::vector<Place> open = places;
+    std::vector<Place> open;
+    for (const Place& place : places) {
+      if (!zone || place.zone == *zone) open.push_back(place);
+    }
     while (found < tasks) {
       std::size_t cheapest = open.size();
       double least_cost = 0;
       std::vector<std::size_t> least_victims;
       for (std::size_t p = 0; p < open.size(); ++p) {
-        if (zone && open[p].zone != *zone) continue;
         Room free = open[p].free;
         double cost = open[p].fetch * 2;  // room that can be used later is worth less
         std::vector<std::size_t> victims;
-        std::vector<std::size_t> order(open[p].victims.size());
-        for (std::size_t v = 0; v < order.size(); ++v) order[v] = v;
-        std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-          return open[p].victims[a].loss < open[p].victims[b].loss;
-        });
-        for (const std::size_t v : order) {
-          if (fits(spec.need, free)) break;
+        for (std::size_t v = 0; v < open[p].victims.size() && !fits(spec.need, free); ++v) {
           free += open[p].victims[v].room;
           cost += open[p].victims[v].loss + 5;
           victims.push_back(v);
--- a/src/planner/displacement.hpp
+++ b/src/planner/displacement.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <unordered_set>
 #include <vector>
 
@@ -16,10 +17,12 @@
   std::vector<HostId> hosts;  // where that makes room
 };
 
-/// Nothing when no room can be made, or when it is being made already.
+/// Nothing when no room can be made, or when it is being made already. `others`: machines on which
+/// room is being made for other jobs.
 std::optional<Displacement> find_room(const QueueItem& item,
                                       const std::unordered_set<Uid>& guaranteed,
                                       const Records& records, const Settings& settings,
-                                      const Profile& profile, Wall now);
+                                      const Profile& profile, Wall now,
+                                      const std::set<HostId>& others = {});
 
 }  // namespace marblevale
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -16,7 +16,8 @@
 constexpr Span kDisplaceEvery{400};
 constexpr Span kStrayTask{20'000};
 constexpr Span kDisplaceAnyway{2'000};
-constexpr std::size_t kMostDisplacing = 3;  // jobs for which room is sought in one round
+constexpr std::size_t kMostDisplacing = 6;  // jobs for which room is sought in one round
+constexpr Span kDisplaceBudget{60};         // after which no further job is tried in it
 constexpr Span kCoalesce{5};
 constexpr Span kWantEvery{1000};  // at the least, and at most a thirtieth of the time
 constexpr Span kSummaryEvery{10'000};
@@ -585,6 +586,16 @@
   const auto guaranteed = guaranteed_jobs(mirror_.records(), settings_);
   const Wall wall = clock_.wall();
   std::size_t tried = 0;
+  std::set<Uid> waiting;
+  for (const QueueItem& item : planner.queue()) waiting.insert(item.uid);
+  // Room that is being made for one job is not another's: without this, all the others would wait
+  // for it, and a burst of urgent jobs would get its room one job after the other.
+  std::set<HostId> others;
+  for (const auto& [uid, made] : made_room_) {
+    if (now - made.at < kRoomEvery && waiting.contains(uid)) {
+      others.insert(made.hosts.begin(), made.hosts.end());
+    }
+  }
   for (const QueueItem& item : planner.queue()) {
     const auto r = reservations_.find(item.uid);
     if (r == reservations_.end() || item.not_before > wall) continue;
@@ -592,12 +603,11 @@
     if (!item.guaranteed && item.demand.job->urgency == Urgency::low) continue;
     const auto last = made_room_.find(item.uid);
     if (last != made_room_.end() && now - last->second.at < kRoomEvery) continue;
-    if (++tried > kMostDisplacing) break;
-    const auto hosts = make_room(item, guaranteed, planner.profile());
-    if (!hosts.empty()) {
-      made_room_[item.uid] = {now, hosts};
-      break;  // the next round sees what it freed
-    }
+    if (++tried > kMostDisplacing || clock_.steady() - now > kDisplaceBudget) break;
+    const auto hosts = make_room(item, guaranteed, planner.profile(), others);
+    if (hosts.empty()) continue;
+    made_room_[item.uid] = {now, hosts};
+    others.insert(hosts.begin(), hosts.end());
   }
   displace_took_ = clock_.steady() - now;
   std::erase_if(made_room_,
@@ -606,10 +616,10 @@
 
 std::vector<HostId> Granting::make_room(const QueueItem& item,
                                         const std::unordered_set<Uid>& guaranteed,
-                                        const Profile& profile) {
+                                        const Profile& profile, const std::set<HostId>& others) {
   const auto& records = mirror_.records();
   const JobSpec& spec = *item.demand.job;
-  const auto room = find_room(item, guaranteed, records, settings_, profile, clock_.wall());
+  const auto room = find_room(item, guaranteed, records, settings_, profile, clock_.wall(), others);
   if (!room) return {};
   std::map<SliceKey, std::set<std::size_t>> by_slice;
   for (const TaskId& id : room->victims) {
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -67,7 +67,7 @@
   void displace(const Planner& planner);
   /// Stops tasks so that the job can start; the machines on which that made room.
   std::vector<HostId> make_room(const QueueItem& item, const std::unordered_set<Uid>& guaranteed,
-                                const Profile& profile);
+                                const Profile& profile, const std::set<HostId>& others);
   void summarize(const Planner& planner);
   void want_machines(const Planner& planner);
   void persist();
