--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -12,8 +12,9 @@
 // turn.
 constexpr double kRestoreShare = 0.4;
 constexpr double kArrivalShare = 0.7;
-// How many jobs before a new one are tried at an earlier place (2.2): with hundreds in the queue,
-// all of them would cost more than the round has.
+// The jobs before a new one are tried at an earlier place (2.2): all of them in a short queue. With
+// hundreds, that would cost more than the round has.
+constexpr std::size_t kShortQueue = 60;
 constexpr std::size_t kMostMoved = 6;
 constexpr std::uint64_t kStarted = 1ULL << 63;  // marks the owner of what was started this round
 
@@ -191,8 +192,9 @@
   // Jobs of higher priority that the new one could delay move first (2.2).
   bool any = false;
   std::size_t tried = 0;
+  const std::size_t most = queue_.size() <= kShortQueue ? queue_.size() : kMostMoved;
   for (const QueueItem& other : queue_) {
-    if (other.uid == item.uid || tried >= kMostMoved) break;
+    if (other.uid == item.uid || tried >= most) break;
     const auto it = reservations_.find(other.uid);
     if (it == reservations_.end() || it->second.start <= now_ || other.not_before > now_) continue;
     ++tried;
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -232,6 +232,28 @@
   EXPECT_EQ(released, 200U) << "not one slice after the other";
 }
 
+TEST_F(LeaderTest, RoomIsMadeForEachUrgentJobAndNotForOneAfterTheOther) {
+  settings_.teams[0].gpus = settings_.teams[0].gpus_max = 100;
+  for (const std::string n : {"1", "2"}) {
+    machine("vm-" + n);
+    JobSpec low = testing::batch("req-" + n, 1, 8, 600);
+    low.urgency = Urgency::low;
+    submit(low);
+    TaskRecord task = bound("vm-" + n);
+    task.running = time_.wall();
+    set_task("req-" + n, task);
+  }
+  begin();
+  for (const std::string n : {"7", "8"}) {
+    JobSpec urgent = testing::gang("req-" + n, 1, 8, 60);
+    urgent.urgency = Urgency::urgent;
+    submit(urgent);
+  }
+  run(Span{1'500});
+  EXPECT_TRUE(tasks("req-1").at(0).stop);
+  EXPECT_TRUE(tasks("req-2").at(0).stop) << "what is vacated for one job is not the other's";
+}
+
 TEST_F(LeaderTest, OnlyAListThatMustBeNewerShowsThatAMachineIsGone) {
   settings_.list_lag = Span{4'000};
   machine("vm-1");
