Duties moved out: order connections, hearing, guarantees' records; reasons survive failed writes

A note whose write was refused was lost, and a stop for a recall was noted at every round, pushing out the others. A new leader records the reasons that stand in the slices.

--- /dev/null
+++ b/src/blocks/hearing.hpp
@@ -0,0 +1,57 @@
+// Whether a worker hears what is said to it. Its reports alone don't tell: answers and orders may
+// be lost on their way. Pure.
+#pragma once
+
+#include <map>
+
+#include "blocks/proof.hpp"
+
+namespace marblevale {
+
+class Hearing {
+ public:
+  /// It has shown that it heard us, by the warrant it bears or by an answer to an order.
+  void heard(Warrant warrant);
+  /// An order was answered: whatever was thought of it before, it hears.
+  void confirmed(Warrant warrant);
+  /// A report of it was answered at this moment.
+  void answered(Steady now) { answered_ = now; }
+  /// A start was sent: by itself, or in the answer to a report.
+  void start_sent(const TaskId& id, Attempt attempt, Steady now, bool in_answer);
+  /// It is in a new session: what was sent to the old one is void. True when the old one lapsed
+  /// though its reports were answered: then nothing that is said to it arrives.
+  bool session_changed(Steady now, Span lease);
+  /// Forgets the starts for which `settled` holds.
+  template <typename Settled>
+  void forget(Settled settled) {
+    std::erase_if(unseen_, [&](const auto& entry) { return settled(entry.first); });
+  }
+  /// True when a start that was sent again and again does not show, though it reports.
+  [[nodiscard]] bool misses_starts(const WorkerView& view, Steady now, Span report) const;
+  void mark_deaf();
+  /// Time in which this process stood still: no start could show.
+  void discount(Steady now, Span pause);
+
+  [[nodiscard]] bool deaf() const { return deaf_; }
+  [[nodiscard]] bool introduced() const { return introduced_ != Warrant{}; }
+  /// Known to have heard of us under this warrant.
+  [[nodiscard]] bool introduced_under(Warrant warrant) const { return introduced_ == warrant; }
+  /// Whether it is time to introduce ourselves by an order.
+  [[nodiscard]] bool introduction_due(Steady now) const;
+  void introducing(Steady now) { last_introduction_ = now; }
+  void introduce_again() { last_introduction_ = Steady{-1'000'000}; }
+
+ private:
+  struct Unseen {
+    Steady since;
+    int answers = 0;  // to reports, each of which bore it
+  };
+
+  Warrant introduced_;  // 0: not known
+  bool deaf_ = false;   // it reports, but nothing that is said to it arrives
+  Steady answered_{-1'000'000};
+  Steady last_introduction_{-1'000'000};
+  std::map<std::pair<TaskId, Attempt>, Unseen> unseen_;  // starts that were sent and don't show
+};
+
+}  // namespace marblevale
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -10,7 +10,6 @@
 
 constexpr Span kCoalesce{2};
 constexpr Span kSweep{500};
-constexpr Span kOrderDeadline{1500};
 constexpr Span kKillEvery{1500};
 constexpr Span kRenewEvery{8'000};
 constexpr Span kCancelMargin{4'000};
@@ -18,14 +17,8 @@
 constexpr Span kStrayTime{6'000};
 constexpr Span kStrayRecent{5'000};
 constexpr std::size_t kMostOrders = 60;  // in one answer, so that it stays far below 64 KiB
-constexpr Span kIntroduceEvery{2'000};
-constexpr std::size_t kLeastClients = 32;  // connections to workers
-constexpr std::size_t kDefaultClients = 128;
-constexpr std::size_t kMostClients = 2'000;
 constexpr std::size_t kMostWoken = 64;   // machines that get orders in one round
 constexpr Span kPause{3'000};            // between two sweeps: this process stood still
-constexpr double kUnheardReports = 2.5;  // reports after which a start must show
-constexpr int kUnheardAnswers = 2;
 constexpr Span kOfferLife{2'500};
 constexpr std::size_t kMostOffers = 200;
 constexpr double kMuchSlack = 0.5;  // of the budget for writes
@@ -37,48 +30,6 @@
 
 }  // namespace
 
-void HttpOrderSender::send(const std::string& address, std::string body, HttpHandler then) {
-  auto it = clients_.find(address);
-  if (it == clients_.end()) {
-    if (clients_.size() >= most_ && !make_room()) {
-      then({0, true, {}});
-      return;
-    }
-    Address to;
-    try {
-      to = parse_address(address, "address");
-    } catch (const SettingsError&) {
-      then({0, true, {}});
-      return;
-    }
-    it = clients_.emplace(address, Client{std::make_unique<HttpClient>(loop_, to, 1, 4)}).first;
-  }
-  it->second.used = ++sent_;
-  it->second.http->send(
-      {EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
-      std::move(then));
-}
-
-std::size_t order_connections(const Settings& settings) {
-  // A quarter: in the worst case all the machines report here, each by a connection of its own.
-  if (settings.max_sockets <= 0) return kDefaultClients;
-  return std::clamp(static_cast<std::size_t>(settings.max_sockets) / 4, kLeastClients,
-                    kMostClients);
-}
-
-bool HttpOrderSender::make_room() {
-  // Machines come and go: of the idle connections, the quarter that was used longest ago is closed.
-  // To close all of them would mean a new connection for nearly every order in a large fleet.
-  std::vector<std::pair<std::uint64_t, std::string>> idle;
-  for (const auto& [address, client] : clients_) {
-    if (client.http->idle()) idle.emplace_back(client.used, address);
-  }
-  std::sort(idle.begin(), idle.end());
-  idle.resize((idle.size() + 3) / 4);
-  for (const auto& [used, address] : idle) clients_.erase(address);
-  return !idle.empty();
-}
-
 Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
                Election& election, OrderSender& orders)
     : meter_(loop.meter()),
@@ -246,7 +197,7 @@
   const Steady now = clock_.steady();
   for (const auto& [host, worker] : workers_) {
     if (out.empty()) break;
-    if (worker.introduced != Warrant{} && now - worker.heard < silence_limit()) {
+    if (worker.hearing.introduced() && now - worker.heard < silence_limit()) {
       out.erase(worker.zone);
     }
   }
@@ -289,12 +240,12 @@
   // block is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
   if (!newer) return {200, write_answer(warrant, {})};
-  worker.answered = now;
+  worker.hearing.answered(now);
   if (report->warrant >= first_warrant_[report->district]) {
     worker.heard = now;
-    if (!worker.deaf) worker.introduced = warrant;
+    worker.hearing.heard(warrant);
     note_machine(*report, worker);
-  } else if (worker.introduced != warrant) {
+  } else if (!worker.hearing.introduced_under(warrant)) {
     wake_.insert(report->host);  // the introduction tells whether it hears
     if (!round_timer_.pending()) round_timer_.start(kCoalesce);
   }
@@ -302,7 +253,7 @@
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.answered_starts[{order.id, order.attempt}] = report->tally;
-      ++worker.starts.try_emplace({order.id, order.attempt}, Unseen{now}).first->second.answers;
+      worker.hearing.start_sent(order.id, order.attempt, now, true);
     }
   }
   return {200, write_answer(warrant, orders)};
@@ -311,10 +262,9 @@
 bool Holder::absorb(Worker& worker, const Report& report) {
   const Tenure before = worker.view.tenure;
   if (!worker.view.take(report)) return false;
-  if (report.tenure > before) worker.starts.clear();  // what was sent to the old session is void
-  // Its lease has lapsed though its reports were answered: nothing that is said to it arrives.
-  if (before != Tenure{} && report.tenure > before &&
-      clock_.steady() - worker.answered < settings_.workers.lease) {
+  if (report.tenure > before &&
+      worker.hearing.session_changed(clock_.steady(), settings_.workers.lease) &&
+      before != Tenure{}) {
     mark_deaf(report.host, worker, "its lease lapsed though it was answered");
   }
   worker.view.prune();
@@ -347,29 +297,22 @@
 }
 
 void Holder::mark_deaf(const HostId& host, Worker& worker, const char* why) {
-  if (!worker.deaf) spdlog::info("holder: {} does not hear: {}", host.get(), why);
-  worker.deaf = true;
-  worker.introduced = Warrant{};
+  if (!worker.hearing.deaf()) spdlog::info("holder: {} does not hear: {}", host.get(), why);
+  worker.hearing.mark_deaf();
 }
 
 void Holder::look_for_deaf(const HostId& host, Worker& worker) {
-  // It reports, but a start that was sent to it again and again does not show.
   const Steady now = clock_.steady();
-  bool unheard = false;
-  for (const auto& [key, unseen] : worker.starts) {
-    // A machine that hung has not reported meanwhile: only answers that it should have had count.
-    unheard = unheard || (now - unseen.since > settings_.workers.report * kUnheardReports &&
-                          unseen.answers >= kUnheardAnswers && !worker.view.tasks.contains(key));
-  }
-  if (unheard && now - worker.heard < settings_.workers.report * 2.0) {
+  const Span report = settings_.workers.report;
+  if (now - worker.heard < report * 2.0 && worker.hearing.misses_starts(worker.view, now, report)) {
     mark_deaf(host, worker, "its starts do not show");
   }
-  std::erase_if(worker.starts, [&](const auto& entry) {
-    const TaskRecord* task = mirror_.records().task(entry.first.first);
+  worker.hearing.forget([&](const auto& start) {
+    const TaskRecord* task = mirror_.records().task(start.first);
     return task == nullptr || task->state != TaskState::bound || task->host != host ||
-           task->attempt != entry.first.second || worker.view.tasks.contains(entry.first);
+           task->attempt != start.second || worker.view.tasks.contains(start);
   });
-  if (worker.deaf) put_machine(host, MachineState::silent, "reports, but does not hear");
+  if (worker.hearing.deaf()) put_machine(host, MachineState::silent, "reports, but does not hear");
 }
 
 void Holder::note_machine(const Report& report, Worker& worker) {
@@ -396,7 +339,7 @@
   const MachineRecord& record = it->second.record;
   if (worker.recall && (record.state == MachineState::up || record.state == MachineState::silent)) {
     put_machine(report.host, MachineState::draining, "the cloud takes it back");
-  } else if (record.state == MachineState::silent && !worker.deaf) {
+  } else if (record.state == MachineState::silent && !worker.hearing.deaf()) {
     put_machine(report.host, MachineState::up, "reports again");
   }
 }
@@ -442,7 +385,7 @@
 bool Holder::silent(const HostId& host) const {
   const auto worker = workers_.find(host);
   if (worker == workers_.end()) return false;
-  return worker->second.deaf || clock_.steady() - worker->second.heard >= silence_limit();
+  return worker->second.hearing.deaf() || clock_.steady() - worker->second.heard >= silence_limit();
 }
 
 void Holder::keep_images() {
@@ -520,8 +463,8 @@
   if (machine == records.machines.end() || worker == workers_.end()) return false;
   if (machine->second.record.state != MachineState::up || worker->second.recall) return false;
   // Nothing is bound to a machine that has not shown, under this warrant, that it hears us.
-  if (worker->second.view.tenure == Tenure{} || worker->second.deaf ||
-      worker->second.introduced == Warrant{}) {
+  if (worker->second.view.tenure == Tenure{} || worker->second.hearing.deaf() ||
+      !worker->second.hearing.introduced()) {
     return false;
   }
   const MachineType* type = records.type(machine->second.record.build);
@@ -907,10 +850,9 @@
   }
   auto orders = orders_for(host, worker, false);
   const Steady now = clock_.steady();
-  const bool introduce =
-      worker.introduced == Warrant{} && now - worker.last_introduction >= kIntroduceEvery;
+  const bool introduce = worker.hearing.introduction_due(now);
   if (orders.empty() && !introduce) return false;
-  worker.last_introduction = now;
+  worker.hearing.introducing(now);
   send_direct(host, worker, std::move(orders));
   return true;
 }
@@ -920,7 +862,7 @@
   for (const Order& order : orders) {
     if (order.verb == Verb::start) {
       worker.view.direct_starts[{order.id, order.attempt}] = warrant;
-      worker.starts.try_emplace({order.id, order.attempt}, Unseen{clock_.steady()});
+      worker.hearing.start_sent(order.id, order.attempt, clock_.steady(), false);
     }
   }
   worker.direct_busy = true;
@@ -929,16 +871,13 @@
                  const auto it = workers_.find(host);
                  if (it == workers_.end()) return;
                  it->second.direct_busy = false;
-                 if (reply.status == 200) {
-                   it->second.introduced = warrant;
-                   it->second.deaf = false;
-                 }
+                 if (reply.status == 200) it->second.hearing.confirmed(warrant);
                  if (reply.status == 200 || reply.status == 409) {
                    const auto report = parse_report(reply.body);
                    if (report && holding(it->second.zone) == Holding::held) {
                      // The answer of 409 tells the session; then the order can be given.
                      if (it->second.view.tenure == Tenure{}) wake_.insert(host);
-                     it->second.last_introduction = Steady{-1'000'000};
+                     it->second.hearing.introduce_again();
                      it->second.heard = clock_.steady();
                      absorb(it->second, *report);
                      note_machine(*report, it->second);
@@ -974,7 +913,7 @@
   }
   for (auto& [host, worker] : workers_) {
     worker.heard = std::min(now, worker.heard + pause);
-    for (auto& [key, unseen] : worker.starts) unseen.since = std::min(now, unseen.since + pause);
+    worker.hearing.discount(now, pause);
   }
 }
 
@@ -1026,7 +965,7 @@
     return gone && !entry.second.direct_busy;
   });
   for (auto& [host, worker] : workers_) {
-    if (worker.introduced == Warrant{}) wake_.insert(host);
+    if (!worker.hearing.introduced()) wake_.insert(host);
     look_for_deaf(host, worker);
   }
   keep_images();
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -10,6 +10,8 @@
 #include <unordered_map>
 
 #include "app/settings.hpp"
+#include "blocks/hearing.hpp"
+#include "blocks/order_sender.hpp"
 #include "blocks/proof.hpp"
 #include "election/election.hpp"
 #include "net/http_server.hpp"
@@ -20,37 +22,6 @@
 
 namespace marblevale {
 
-/// The way to a worker's own address.
-class OrderSender {
- public:
-  virtual ~OrderSender() = default;
-  /// POST /orders; status 0: no answer.
-  virtual void send(const std::string& address, std::string body, HttpHandler then) = 0;
-};
-
-class HttpOrderSender : public OrderSender {
- public:
-  /// `most`: connections to workers kept at a time.
-  HttpOrderSender(Loop& loop, std::size_t most) : loop_(loop), most_(most) {}
-  void send(const std::string& address, std::string body, HttpHandler then) override;
-
- private:
-  struct Client {
-    std::unique_ptr<HttpClient> http;
-    std::uint64_t used = 0;  // when last, as a count of requests
-  };
-  bool make_room();
-
-  Loop& loop_;
-  std::size_t most_;
-  std::uint64_t sent_ = 0;
-  std::map<std::string, Client> clients_;
-};
-
-/// How many connections to workers may be kept: what the machine's sockets leave beside the
-/// workers' own and the users'.
-std::size_t order_connections(const Settings& settings);
-
 /// The answer to a report: 200 with orders, or 421 with or without the holder's name.
 struct HelloAnswer {
   int status = 421;
@@ -81,12 +52,6 @@
  private:
   enum class Holding { none, settling, held };
 
-  /// A start that does not show in the machine's reports.
-  struct Unseen {
-    Steady since;
-    int answers = 0;  // to reports, each of which bore it
-  };
-
   struct Worker {
     WorkerView view;
     ZoneId zone;
@@ -96,11 +61,7 @@
     std::optional<Wall> recall;
     std::vector<std::pair<ImageId, double>> images;  // seen in use, as in the machine's record
     bool images_changed = false;
-    Warrant introduced;  // the warrant under which it is known to have heard of us; 0: not known
-    bool deaf = false;   // it reports, but nothing that is said to it arrives
-    Steady answered{-1'000'000};                          // its last report that was
-    std::map<std::pair<TaskId, Attempt>, Unseen> starts;  // sent and not seen yet
-    Steady last_introduction{-1'000'000};
+    Hearing hearing;
   };
 
   /// An offer that waits for this copy to catch up, or for the state service.
--- /dev/null
+++ b/src/blocks/order_sender.cpp
@@ -0,0 +1,58 @@
+#include "blocks/order_sender.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace marblevale {
+
+namespace {
+constexpr std::size_t kLeastClients = 32;  // connections to workers
+constexpr std::size_t kDefaultClients = 128;
+constexpr std::size_t kMostClients = 2'000;
+constexpr Span kOrderDeadline{1500};
+}  // namespace
+
+void HttpOrderSender::send(const std::string& address, std::string body, HttpHandler then) {
+  auto it = clients_.find(address);
+  if (it == clients_.end()) {
+    if (clients_.size() >= most_ && !make_room()) {
+      then({0, true, {}});
+      return;
+    }
+    Address to;
+    try {
+      to = parse_address(address, "address");
+    } catch (const SettingsError&) {
+      then({0, true, {}});
+      return;
+    }
+    it = clients_.emplace(address, Client{std::make_unique<HttpClient>(loop_, to, 1, 4)}).first;
+  }
+  it->second.used = ++sent_;
+  it->second.http->send(
+      {EVHTTP_REQ_POST, "/orders", std::move(body), "application/json", kOrderDeadline},
+      std::move(then));
+}
+
+std::size_t order_connections(const Settings& settings) {
+  // A quarter: in the worst case all the machines report here, each by a connection of its own.
+  if (settings.max_sockets <= 0) return kDefaultClients;
+  return std::clamp(static_cast<std::size_t>(settings.max_sockets) / 4, kLeastClients,
+                    kMostClients);
+}
+
+bool HttpOrderSender::make_room() {
+  // Machines come and go: of the idle connections, the quarter that was used longest ago is closed.
+  // To close all of them would mean a new connection for nearly every order in a large fleet.
+  std::vector<std::pair<std::uint64_t, std::string>> idle;
+  for (const auto& [address, client] : clients_) {
+    if (client.http->idle()) idle.emplace_back(client.used, address);
+  }
+  std::sort(idle.begin(), idle.end());
+  idle.resize((idle.size() + 3) / 4);
+  for (const auto& [used, address] : idle) clients_.erase(address);
+  return !idle.empty();
+}
+
+}  // namespace marblevale
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -25,9 +25,6 @@
 constexpr Span kRoomEvery{12'000};  // between two displacements for one job
 constexpr Span kWorthDisplacing{3'000};
 constexpr Span kRefusedPause{400};
-constexpr Span kBeginsAtOnce{
-    2'000};                       // a job that has begun by then needs no record of its guarantee
-constexpr Span kRewrite{10'000};  // between two records of one job's guarantee
 constexpr double kPersistSlack = 0.3;
 constexpr double kSweepSlack = 0.6;
 constexpr std::size_t kMostLeft = 1000;
@@ -35,7 +32,6 @@
 constexpr Span kDarkLife{4'000};  // of a holder's word that it reaches no machine of a zone
 constexpr Span kOfferPatience{3'500};
 constexpr Span kPieceEvery{3'000};
-constexpr Span kPersistLater{5'000};
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};           // a start this near needs no new machine
 constexpr Span kOverdueBoot{5'500};     // a machine expected within this is late, or about to come
@@ -57,6 +53,7 @@
       mirror_(mirror),
       election_(election),
       fleet_(fleet),
+      grants_(clock, settings, mirror, election),
       timer_(loop, [this] { round(); }) {
   mirror_.listen([this](Topic topic, const std::string& key) { noticed(topic, key); });
 }
@@ -114,14 +111,13 @@
 void Granting::take_over() {
   transition(State::leading);
   term_ = election_.term();
+  grants_.begin_term();
   reservations_.clear();
   pending_.clear();
   unknown_.clear();
   offered_.clear();
   ending_.clear();
-  notes_.clear();
   made_room_.clear();
-  persisting_ = false;
   sweeping_ = false;
   cursor_ = 0;
   occupancy_.reset();
@@ -193,9 +189,10 @@
     if (begin - made.at < kRoomEvery) pins.emplace(uid, made.hosts);
   }
   for (const Moved& moved : planner.restore(pins)) {
-    note(moved.uid, "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
-                        " s later: tasks before it overran, a machine was lost or out of reach, "
-                        "or room was made there for a job that goes first");
+    grants_.note(moved.uid,
+                 "start moved " + std::to_string((moved.to - moved.from).ms / 1000) +
+                     " s later: tasks before it overran, a machine was lost or out of reach, "
+                     "or room was made there for a job that goes first");
   }
   const bool admitted = planner.admit_arrivals();
   // What was started is taken out of the queue by the next round, which sees it as placed.
@@ -212,7 +209,7 @@
   if (clock_.steady() - last_summary_ >= kSummaryEvery) summarize(planner);
   if (clock_.steady() - last_want_ >= std::max(kWantEvery, want_took_ * 30.0))
     want_machines(planner);
-  persist();
+  grants_.flush(reservations_);
   occupancy_.profile() = planner.take_profile();
   // How often the budget ends before the queue does.
   if (!admitted || cursor_ != 0) meter_.count("rounds cut short");
@@ -236,11 +233,6 @@
   return out;
 }
 
-void Granting::note(const Uid& uid, std::string what) {
-  auto& list = notes_[uid];
-  if (list.size() < 16) list.push_back({clock_.wall(), std::move(what)});
-}
-
 bool Granting::end_job(const Uid& uid, const Stored<JobRecord>& job) {
   const auto& records = mirror_.records();
   const std::uint32_t slices = slice_count(job.record.spec);
@@ -322,23 +314,24 @@
   mirror_.commit(Rank::record, std::move(txn), [this](const CommitResult&) { sweeping_ = false; });
 }
 
-void Granting::stop_tasks(const SliceKey& key,
+bool Granting::stop_tasks(const SliceKey& key,
                           const std::function<bool(std::size_t, TaskRecord&)>& stop) {
-  if (pending_.contains(key)) return;
+  if (pending_.contains(key)) return false;
   const auto* stored = mirror_.records().slice(key.first, key.second);
-  if (stored == nullptr) return;
+  if (stored == nullptr) return false;
   SliceRecord slice = stored->record;
   bool changed = false;
   for (std::size_t i = 0; i < slice.tasks.size(); ++i) {
     TaskRecord& task = slice.tasks[i];
     if (task.placed() && !task.stop && stop(i, task)) changed = true;
   }
-  if (!changed) return;
+  if (!changed) return false;
   Txn txn;
   election_.guard(txn);
   txn.guard(keys::slice(key.first, key.second), stored->stamp);
   txn.put(keys::slice(key.first, key.second), encode(slice));
   commit_slices(std::move(txn), {slice});
+  return true;
 }
 
 void Granting::drain() {
@@ -359,16 +352,20 @@
   // A gang is stopped whole; of an array, the tasks on machines that are taken.
   for (const Uid& uid : stopping) {
     const JobSpec spec = records.job(uid)->spec;
+    bool stopped = false;
     for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
-      stop_tasks({uid, n}, [&](std::size_t, TaskRecord& task) {
+      const auto taken_back = [&](std::size_t, TaskRecord& task) {
         const auto machine = records.machines.find(task.host);
         const bool taken = machine != records.machines.end() && machine->second.record.recall;
         if (!spec.gang() && !taken) return false;
         task.stop = StopOrder{spec.stash + Span{2'000}, "the cloud takes its machine back"};
         return true;
-      });
+      };
+      stopped = stop_tasks({uid, n}, taken_back) || stopped;
     }
-    note(uid, "stopped to save its progress: the cloud takes its machine back");
+    // Once for each stop: a note at every round would push out the others.
+    if (stopped)
+      grants_.note(uid, "stopped to save its progress: the cloud takes its machine back");
   }
 }
 
@@ -638,7 +635,7 @@
       task.stop = StopOrder{leeway, reason};
       return true;
     });
-    note(key.first, reason);
+    grants_.note(key.first, reason);
   }
   spdlog::info("granting: {} tasks displaced for {}", room->victims.size(), spec.uid.get());
   return room->hosts;
@@ -730,70 +727,4 @@
   want_took_ = clock_.steady() - last_want_;
 }
 
-void Granting::persist() {
-  if (persisting_) return;
-  const auto& records = mirror_.records();
-  Txn txn;
-  election_.guard(txn);
-  const std::size_t most = std::max<std::size_t>(1, settings_.store.txn_ops / 2);
-  std::vector<Uid> written;
-  std::set<Uid> due;
-  // A job that begins at once is told by its slice; a guarantee that moves is written now and then.
-  // Without budget to spare, notes and guarantees wait: no decision depends on them.
-  const Steady now = clock_.steady();
-  if (mirror_.write_slack() < kPersistSlack && now - last_persist_ < kPersistLater) return;
-  const Wall wall = clock_.wall();
-  for (const auto& [uid, r] : reservations_) {
-    if (!r.changed) continue;
-    const auto job = records.jobs.find(uid);
-    const Wall since = r.written.ms != 0           ? r.written + kRewrite
-                       : job != records.jobs.end() ? job->second.record.accepted + kBeginsAtOnce
-                                                   : Wall{0};
-    if (since <= wall) due.insert(uid);
-  }
-  for (const auto& [uid, notes] : notes_) due.insert(uid);
-  for (const Uid& uid : due) {
-    if (txn.puts.size() >= most) break;
-    const auto job = records.jobs.find(uid);
-    if (job == records.jobs.end()) {
-      notes_.erase(uid);
-      continue;
-    }
-    const auto stored = records.grants.find(uid);
-    GrantRecord grant;
-    if (stored != records.grants.end()) grant = stored->second.record;
-    grant.uid = uid;
-    if (const auto r = reservations_.find(uid); r != reservations_.end()) {
-      if (grant.guarantees.empty()) {
-        const auto wait = r->second.first - job->second.record.accepted;
-        grant.note(clock_.wall(),
-                   "granted a start " + std::to_string(wait.ms / 1000) + " s after acceptance");
-      }
-      grant.guarantees = {{0, r->second.first, r->second.start, r->second.end}};
-      r->second.changed = false;
-      r->second.written = wall;
-    }
-    if (const auto notes = notes_.find(uid); notes != notes_.end()) {
-      for (Note& n : notes->second) grant.note(n.at, std::move(n.what));
-      notes_.erase(notes);
-    }
-    // The job's guard: a grant must not come back after the job has ended.
-    txn.guard(keys::job(uid), job->second.stamp);
-    txn.guard(keys::grant(uid), stored == records.grants.end() ? Stamp{} : stored->second.stamp);
-    txn.put(keys::grant(uid), encode(grant));
-    written.push_back(uid);
-  }
-  if (txn.puts.empty()) return;
-  persisting_ = true;
-  last_persist_ = now;
-  mirror_.commit(Rank::record, std::move(txn), [this, written](const CommitResult& r) {
-    persisting_ = false;
-    if (r.fate == Fate::done) return;
-    for (const Uid& uid : written) {
-      if (const auto it = reservations_.find(uid); it != reservations_.end())
-        it->second.changed = true;
-    }
-  });
-}
-
 }  // namespace marblevale
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -12,6 +12,7 @@
 #include "election/election.hpp"
 #include "fleet/fleet.hpp"
 #include "peers/offers.hpp"
+#include "planner/grant_writer.hpp"
 #include "planner/occupancy.hpp"
 #include "planner/planner.hpp"
 #include "store/mirror.hpp"
@@ -53,7 +54,8 @@
   void housekeep();
   [[nodiscard]] std::set<ZoneId> dark_zones() const;
   bool end_job(const Uid& uid, const Stored<JobRecord>& job);
-  void stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
+  /// True when tasks are stopped that were not being stopped before.
+  bool stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
   [[nodiscard]] const SliceRecord* current(const Uid& uid, std::uint32_t number) const;
   bool worth_releasing(const Start& start, Steady now);
@@ -70,8 +72,6 @@
                                 const Profile& profile, const std::set<HostId>& others);
   void summarize(const Planner& planner);
   void want_machines(const Planner& planner);
-  void persist();
-  void note(const Uid& uid, std::string what);
 
   Meter& meter_;
   const Clock& clock_;
@@ -79,6 +79,7 @@
   Mirror& mirror_;
   Election& election_;
   Fleet& fleet_;
+  GrantWriter grants_;
   State state_ = State::idle;
   Stamp term_;
   Reservations reservations_;
@@ -89,7 +90,6 @@
   OfferChannel* channel_ = nullptr;
   std::map<NodeId, std::pair<std::set<ZoneId>, Steady>> out_of_reach_;  // and when that was said
   std::set<Uid> ending_;
-  std::unordered_map<Uid, std::vector<Note>> notes_;  // not yet in the state service
   struct MadeRoom {
     Steady at;
     std::vector<HostId> hosts;
@@ -97,10 +97,8 @@
   std::unordered_map<Uid, MadeRoom> made_room_;
   std::map<HostId, Wall> stray_since_;
   std::unordered_map<Uid, Steady> last_release_;  // of arrays that still wait
-  bool persisting_ = false;
   bool sweeping_ = false;
   Occupancy occupancy_;
-  Steady last_persist_{-1'000'000};
   Span displace_took_{};
   Span want_took_{};
   Steady last_displaced_{-1'000'000};
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -99,6 +99,14 @@
     return slice.tasks;
   }
 
+  [[nodiscard]] std::vector<std::string> notes(const std::string& uid) const {
+    std::vector<std::string> out;
+    const auto grant = mirror_.records().grants.find(Uid(uid));
+    if (grant == mirror_.records().grants.end()) return out;
+    for (const Note& n : grant->second.record.notes) out.push_back(n.what);
+    return out;
+  }
+
   void set_task(const std::string& uid, const TaskRecord& task) {
     SliceRecord slice;
     slice.uid = Uid(uid);
@@ -232,6 +240,31 @@
   EXPECT_EQ(released, 200U) << "not one slice after the other";
 }
 
+TEST_F(LeaderTest, AReasonIsKeptUntilItIsRecorded) {
+  begin();
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{200});
+  GrantWriter writer(time_, settings_, mirror_, election_);
+  Reservations none;
+  writer.note(Uid("req-1"), "displaced for req-7 (urgent)");
+  store_.scripts = {Script::refuse};
+  writer.flush(none);
+  EXPECT_EQ(notes("req-1"), std::vector<std::string>{});
+  writer.flush(none);
+  EXPECT_EQ(notes("req-1"), std::vector<std::string>{"displaced for req-7 (urgent)"});
+}
+
+TEST_F(LeaderTest, ANewLeaderRecordsTheReasonsThatTheLastOneHadNotWritten) {
+  machine("vm-1");
+  submit(testing::gang("req-1", 1, 1, 60));
+  TaskRecord task = bound("vm-1");
+  task.stop = StopOrder{Span{5'000}, "displaced for req-7 (urgent)"};
+  set_task("req-1", task);
+  begin();
+  run(Span{6'000});
+  EXPECT_EQ(notes("req-1"), std::vector<std::string>{"displaced for req-7 (urgent)"});
+}
+
 TEST_F(LeaderTest, RoomIsMadeForEachUrgentJobAndNotForOneAfterTheOther) {
   settings_.teams[0].gpus = settings_.teams[0].gpus_max = 100;
   for (const std::string n : {"1", "2"}) {
