--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -30,6 +30,8 @@
   const JobSpec& y = *b.demand.job;
   if (x.urgency != y.urgency) return x.urgency > y.urgency;
   if (a.guaranteed != b.guaranteed) return a.guaranteed;
+  if (a.overdue != b.overdue) return a.overdue;
+  if (a.overdue && a.accepted != b.accepted) return a.accepted < b.accepted;
   if (a.missed != b.missed) return b.missed;
   if (a.target != b.target) {
     // One without an objective waits behind those that still can meet theirs.
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -23,10 +23,11 @@
   Wall not_before;             // after a fault: when it may be tried again
   std::optional<Wall> target;  // the next start time that meets an objective of its class
   bool missed = false;         // it has objectives, and all their start times have passed
+  bool overdue = false;        // it has never begun, and has waited for too long
 };
 
-/// Urgency, then work within its team's guarantee, then the nearest start that still meets an
-/// objective, then Shortest Job First, then acceptance.
+/// Urgency, then work within its team's guarantee, then what is overdue, by acceptance, then the
+/// nearest start that still meets an objective, then Shortest Job First, then acceptance.
 bool before(const QueueItem& a, const QueueItem& b);
 
 /// A job's reservation: machines are named, since the profile is built anew for each round.
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -10,6 +10,10 @@
 
 constexpr Span kLeastRun{5'000};
 constexpr double kEstimateMargin = 1.15;  // estimates are often too low
+/// A job that has never begun goes first of its rank from here on: the widest must begin within
+/// four minutes, and a wide one needs its time until it has room. Without this, jobs that had
+/// missed their objectives waited behind all newcomers whose reservations overran into theirs.
+constexpr Span kOverdue{150'000};
 /// Of a long array, how many tasks wait in the queue at once: enough that it can begin broadly
 /// where room is, few enough that 100,000 tasks cost neither as many reservations nor as many
 /// writes.
@@ -70,11 +74,13 @@
   std::vector<std::uint32_t> paused;
   std::map<ZoneId, std::uint32_t> zones;
   bool placed = false;
+  bool begun = false;
   for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
     const SliceRecord* slice = current(uid, n);
     if (!spec.gang() && item.parts.size() + paused.size() >= kOpenTasks) break;
     for (std::uint32_t i = 0; i < slice_size(spec, n); ++i) {
       const TaskRecord* task = slice == nullptr ? nullptr : &slice->tasks[i];
+      begun = begun || (task != nullptr && task->attempt != Attempt{});
       if (task != nullptr && task->placed()) {
         placed = true;
         ++zones[task->zone];
@@ -99,6 +105,7 @@
     item.not_before = soonest;
   }
   if (item.parts.empty()) return std::nullopt;
+  item.overdue = !begun && now - job.accepted > kOverdue;
   item.demand.tasks = static_cast<std::uint32_t>(item.parts.size());
   item.demand.run = std::max(kLeastRun, spec.expect - progress);
   if (spec.together && !zones.empty()) item.demand.zone = zones.begin()->first;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "helpers.hpp"
+#include "planner/queueing.hpp"
 
 namespace marblevale {
 namespace {
@@ -220,6 +221,38 @@
   EXPECT_EQ(queue[3].uid, lengthy.uid);
 }
 
+TEST(Queue, AJobThatHasNeverBegunIsOverdueAfterAWhileAndGoesFirstOfItsRank) {
+  Records records;
+  Settings settings;
+  Objective wait;
+  wait.workclass = "solve";
+  wait.within = from_seconds(60);
+  settings.objectives = {wait};
+  settings.zones = {ZoneId("a")};
+  const auto add = [&](const std::string& uid, double accepted) {
+    JobRecord job{gang(uid, 8, 2, 150), at(accepted), std::nullopt};
+    records.jobs[Uid(uid)] = {job, Stamp(1)};
+  };
+  add("req-old", 0);    // its objective is missed
+  add("req-begun", 1);  // older than the next, but it has run before
+  add("req-new", 190);
+  SliceRecord slice;
+  slice.uid = Uid("req-begun");
+  slice.tasks.resize(8);
+  for (TaskRecord& task : slice.tasks) task.attempt = Attempt(1);
+  records.slices[{slice.uid, 0}] = {slice, Stamp(2)};
+  const auto current = [&](const Uid& uid, std::uint32_t number) -> const SliceRecord* {
+    const auto* stored = records.slice(uid, number);
+    return stored == nullptr ? nullptr : &stored->record;
+  };
+  auto queue = build_queue(records, settings, current, at(200), false);
+  std::sort(queue.begin(), queue.end(), before);
+  ASSERT_EQ(queue.size(), 3U);
+  EXPECT_EQ(queue[0].uid.get(), "req-old");
+  EXPECT_EQ(queue[1].uid.get(), "req-new");
+  EXPECT_EQ(queue[2].uid.get(), "req-begun");
+}
+
 TEST(Profile, TheTeamsLimitIsADimension) {
   const JobSpec a = gang("req-a", 1, 3, 10);
   Profile p = one_machine(8);
