--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -60,7 +60,11 @@
 
 void Service::summarize() {
   summary_timer_.start(kSummaryEvery);
-  spdlog::info("summary: {}", meter_.summary());
+  const Records& records = mirror_.records();
+  spdlog::info(
+      "summary: {}; holds {} jobs, {} slices, {} machines; {} of {} connections to workers",
+      meter_.summary(), records.jobs.size(), records.slices.size(), records.machines.size(),
+      order_sender_.connections(), order_connections(settings_));
 }
 
 bool Service::state_answers(Span within) const {
--- a/src/blocks/order_sender.hpp
+++ b/src/blocks/order_sender.hpp
@@ -23,6 +23,7 @@
   /// `most`: connections to workers kept at a time.
   HttpOrderSender(Loop& loop, std::size_t most) : loop_(loop), most_(most) {}
   void send(const std::string& address, std::string body, HttpHandler then) override;
+  [[nodiscard]] std::size_t connections() const { return clients_.size(); }
 
  private:
   struct Client {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,6 +15,12 @@
 constexpr Span kMostRefusal{40'000};
 // Longer than any list lags, and than copies of a machine's reports come late.
 constexpr Span kTombstone{180'000};
+// How long a silent machine is waited for, in leases. Many that fall silent together have more
+// often hung, or are cut off, than died (which the cloud's lists would tell): they are waited for
+// longer, since as many would have to be rented and booted again.
+constexpr double kSilentLeases = 0.8;
+constexpr double kManySilentLeases = 1.2;
+constexpr std::size_t kManySilent = 10;
 constexpr double kNeverUp = 3.0;           // boot times after which a machine is given up
 constexpr std::size_t kMostDeleted = 100;  // by one request, as the protocol has it
 constexpr double kListShare =
@@ -378,6 +384,11 @@
   const auto& records = mirror_.records();
   const Steady now = clock_.steady();
   const Wall wall = clock_.wall();
+  const auto silent = static_cast<std::size_t>(std::count_if(
+      records.machines.begin(), records.machines.end(),
+      [](const auto& entry) { return entry.second.record.state == MachineState::silent; }));
+  const Span patience =
+      settings_.workers.lease * (silent >= kManySilent ? kManySilentLeases : kSilentLeases);
   for (const auto& [host, stored] : records.machines) {
     const MachineRecord& m = stored.record;
     const bool listed = last_seen_.contains(host);
@@ -390,7 +401,7 @@
         const bool failed =
             entry != listed_.end() && entry->second.machine.status == RentalStatus::failed;
         const bool taken = failed || (!listed && last_list_ > charge_since_);
-        if (taken || wall - m.since > settings_.workers.lease * 0.8) condemn(host, "silent");
+        if (taken || wall - m.since > patience) condemn(host, "silent");
         break;
       }
       case MachineState::suspect:
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -287,6 +287,24 @@
   EXPECT_TRUE(tasks("req-2").at(0).stop) << "what is vacated for one job is not the other's";
 }
 
+TEST_F(LeaderTest, ManyThatFallSilentTogetherAreWaitedForLonger) {
+  const auto silent = [&](const std::string& host) {
+    MachineRecord m;
+    m.host = HostId(host);
+    m.build = "g8";
+    m.zone = ZoneId("a");
+    m.state = MachineState::silent;
+    m.since = time_.wall();
+    store_.put_machine(m);
+  };
+  for (int i = 0; i < 12; ++i) silent("vm-" + std::to_string(100 + i));
+  begin();
+  run(Span{24'000});
+  EXPECT_TRUE(cloud_.removed.empty()) << "they may be back";
+  run(Span{8'000});
+  EXPECT_EQ(cloud_.removed.size(), 12U);
+}
+
 TEST_F(LeaderTest, OnlyAListThatMustBeNewerShowsThatAMachineIsGone) {
   settings_.list_lag = Span{4'000};
   machine("vm-1");
