--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -287,6 +287,41 @@
   EXPECT_TRUE(tasks("req-2").at(0).stop) << "what is vacated for one job is not the other's";
 }
 
+TEST_F(LeaderTest, TheOrderInWhichZonesComeBackDoesNotDecideWhoseJobGoesFirst) {
+  settings_.zones = {ZoneId("a"), ZoneId("b")};
+  settings_.teams[0].gpus = settings_.teams[0].gpus_max = 100;
+  MachineType type;
+  type.name = "g8";
+  type.room = {96, 8, 768};
+  type.zones = settings_.zones;
+  store_.put(keys::kTypes, encode(std::vector<MachineType>{type}));
+  for (const std::string zone : {"a", "b"}) {
+    MachineRecord m;
+    m.host = HostId("vm-" + zone);
+    m.build = "g8";
+    m.zone = ZoneId(zone);
+    m.since = time_.wall();
+    store_.put_machine(m);
+    store_.put(keys::block(ZoneId(zone)),
+               encode(BlockRecord{ZoneId(zone), NodeId("me"), Nonce(7), 1}));
+  }
+  begin();
+  granting_.out_of_reach(NodeId("me"), {ZoneId("a"), ZoneId("b")});
+  submit(testing::gang("req-1", 1, 8, 60));
+  run(Span{100});
+  submit(testing::gang("req-2", 1, 8, 60));  // as long, accepted later
+  run(Span{500});
+  granting_.out_of_reach(NodeId("me"), {ZoneId("a")});
+  run(Span{1'000});
+  ASSERT_EQ(tasks("req-1").size(), 1U) << "whichever zone is back first, its room is the older's";
+  EXPECT_EQ(tasks("req-1")[0].zone, ZoneId("b"));
+  EXPECT_TRUE(tasks("req-2").empty());
+  granting_.out_of_reach(NodeId("me"), {});
+  run(Span{1'000});
+  ASSERT_EQ(tasks("req-2").size(), 1U);
+  EXPECT_EQ(tasks("req-2")[0].zone, ZoneId("a"));
+}
+
 TEST_F(LeaderTest, ManyThatFallSilentTogetherAreWaitedForLonger) {
   const auto silent = [&](const std::string& host) {
     MachineRecord m;
