--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -26,9 +26,13 @@
 }  // namespace
 
 bool before(const QueueItem& a, const QueueItem& b) {
-  const JobSpec& x = *a.demand.job;
-  const JobSpec& y = *b.demand.job;
-  if (x.urgency != y.urgency) return x.urgency > y.urgency;
+  // What is overdue goes with the standard jobs at the least: low ones must begin some day, too. It
+  // stops nobody for that.
+  const auto rank = [](const QueueItem& item) {
+    const Urgency urgency = item.demand.job->urgency;
+    return item.overdue ? std::max(urgency, Urgency::standard) : urgency;
+  };
+  if (rank(a) != rank(b)) return rank(a) > rank(b);
   if (a.guaranteed != b.guaranteed) return a.guaranteed;
   if (a.overdue != b.overdue) return a.overdue;
   if (a.overdue && a.accepted != b.accepted) return a.accepted < b.accepted;
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -26,8 +26,9 @@
   bool overdue = false;        // it has never begun, and has waited for too long
 };
 
-/// Urgency, then work within its team's guarantee, then what is overdue, by acceptance, then the
-/// nearest start that still meets an objective, then Shortest Job First, then acceptance.
+/// Urgency (what is overdue counts as standard at the least), then work within its team's
+/// guarantee, then what is overdue, by acceptance, then the nearest start that still meets an
+/// objective, then Shortest Job First, then acceptance.
 bool before(const QueueItem& a, const QueueItem& b);
 
 /// A job's reservation: machines are named, since the profile is built anew for each round.
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMostSteps = 200;  // moments tried for one demand
 constexpr double kPriceSeconds = 30;     // waiting that the dearest machine, used whole, is worth
 constexpr double kPatientFetch = 0.3;
+constexpr double kWasteSeconds =
+    30;  // waiting that a whole machine's stranded accelerators are worth
 constexpr double kApartSeconds = 10;  // waiting that staying in one zone is worth
 constexpr double kNothing = 1e-7;     // what rounding leaves
 constexpr Wall kNever{std::numeric_limits<std::int64_t>::max()};
@@ -371,8 +373,12 @@
   const PlanMachine& m = machines_[machine];
   const std::uint64_t draw = mix(salts_[machine] ^ std::hash<Uid>{}(job.uid)) % 997;
   // A job with a deadline can rather wait for its image than take what others can't do without.
+  // What it takes of memory or CPUs beyond its share of the accelerators strands the rest of them,
+  // on ordinary machines for jobs that may use no others.
+  const bool strands = !m.spot && job.need.gpus > 0 && m.room.gpus > 0;
+  const double waste = strands ? share_of(job.need, m.room) - job.need.gpus / m.room.gpus : 0;
   const double apart = demand.lean && *demand.lean != m.zone ? kApartSeconds : 0;
-  return apart + fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
+  return apart + kWasteSeconds * waste + fetch.seconds() * (job.due ? kPatientFetch : 1.0) +
          price_weight(share_of(job.need, m.room), m) +
          share_of(free, m.room) * (job.gang() ? 0.2 : 1.0) + static_cast<double>(draw) / 1e5;
 }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -251,6 +251,14 @@
   EXPECT_EQ(queue[0].uid.get(), "req-old");
   EXPECT_EQ(queue[1].uid.get(), "req-new");
   EXPECT_EQ(queue[2].uid.get(), "req-begun");
+  // A low one that is overdue goes before standard ones that are not.
+  records.jobs[Uid("req-old")].record.spec.urgency = Urgency::low;
+  queue = build_queue(records, settings, current, at(200), false);
+  std::sort(queue.begin(), queue.end(), before);
+  EXPECT_EQ(queue[0].uid.get(), "req-old");
+  queue = build_queue(records, settings, current, at(100), false);
+  std::sort(queue.begin(), queue.end(), before);
+  EXPECT_EQ(queue[2].uid.get(), "req-old") << "not yet";
 }
 
 TEST(Profile, TheTeamsLimitIsADimension) {
