--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -26,10 +26,7 @@
 constexpr double kListShare =
     0.3;  // of the cloud's calls: renting and deleting must not wait for lists
 constexpr std::uint32_t kMostHired = 50;  // by one request, as the protocol has it
-// Idle machines worth keeping: a fifth of those that are up in a small fleet. What arrives at once
-// is a smaller part of a larger one, so there it grows with the root.
-constexpr double kSpareShare = 0.2;
-constexpr double kSpareRoot = 2.0;
+constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
 constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
@@ -364,8 +361,7 @@
       static_cast<double>(std::count_if(machines.begin(), machines.end(), [](const auto& entry) {
         return entry.second.record.state == MachineState::up;
       }));
-  const auto spare =
-      static_cast<std::size_t>(std::ceil(std::min(up * kSpareShare, kSpareRoot * std::sqrt(up))));
+  const auto spare = static_cast<std::size_t>(std::ceil(up * kSpareShare));
   std::vector<std::pair<Steady, HostId>> idle;
   for (const auto& [host, since] : idle_since_) idle.emplace_back(since, host);
   std::sort(idle.begin(), idle.end());
