--- a/tests/added_troubles_test.cpp
+++ b/tests/added_troubles_test.cpp
@@ -112,6 +112,18 @@
   EXPECT_EQ(machine_state("vm-1"), MachineState::up) << "it may have reported elsewhere";
 }
 
+TEST_F(Troubles, MachinesThatComeUpTogetherCostAWriteAPage) {
+  const auto before = store_.commits.size();
+  for (int i = 0; i < 240; ++i) hello(1, warrant(), "", "vm-" + std::to_string(100'000 + i));
+  run(Span{1'000});
+  EXPECT_EQ(mirror_.records().machines.size(), 240U);
+  std::size_t puts = 0;
+  for (std::size_t i = before; i < store_.commits.size(); ++i) {
+    puts += store_.commits[i].puts.size();
+  }
+  EXPECT_LE(puts, 240 / kPageMachines + 1) << "each put counts against the rate of writes";
+}
+
 TEST_F(Troubles, AMachineThatHungAndIsBackIsNotTakenForDeaf) {
   hello(1, warrant());
   release();
