--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -271,6 +271,23 @@
   EXPECT_EQ(plan->start(), at(7));
 }
 
+TEST(Profile, ATaskGoesWhereItStrandsNoAccelerators) {
+  Profile p;
+  PlanMachine lean = machine("lean", 4);
+  lean.room = {24, 4, 96};
+  PlanMachine broad = machine("broad", 8);
+  broad.room = {64, 8, 512};
+  const std::size_t first = p.add_machine(lean);
+  const std::size_t second = p.add_machine(broad);
+  // The lean one is the fuller, which would decide between equals.
+  p.take(first, TeamId("crew"), {Wall{0}, at(100), {6, 1, 24}, Owner{99}});
+  JobSpec job = batch("req-a", 1, 1, 60);
+  job.need = {6, 1, 48};
+  const Plan plan = p.fit_some(item(job, 1).demand, at(0));
+  ASSERT_EQ(plan.spots.size(), 1U);
+  EXPECT_EQ(plan.spots[0].machine, second) << "two of these fill the lean one and leave GPUs idle";
+}
+
 TEST(Profile, TogetherSpreadDistrictBuildsAndLoanersAreKept) {
   Profile p;
   p.add_machine(machine("a1", 2, "a"));
