--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -41,12 +41,13 @@
 
 }  // namespace
 
-Admission::Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror)
+Admission::Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
+                     Cancellations& cancellations)
     : clock_(clock),
       settings_(settings),
       store_(store),
       mirror_(mirror),
-      last_cancel_(clock.wall()) {}
+      cancellations_(cancellations) {}
 
 void Admission::remember(const FinalRecord& job) {
   if (!finals_.emplace(job.uid, job).second) return;
@@ -74,6 +75,8 @@
 }
 
 UserAnswer Admission::state_of(const JobRecord& job) const {
+  // However the user comes to hear of it: from now on the cancellation counts.
+  if (job.cancelled) cancellations_.tell(job.spec.uid, *job.cancelled);
   // The counts are for display and may lag; the state itself was just read.
   std::uint64_t done = 0;
   std::uint64_t running = 0;
@@ -296,10 +299,7 @@
     answer(error(404, "no such job"));
     return;
   }
-  look_up(Uid(uid), [this, answer](const Found& f) {
-    if (f.job && f.job->record.cancelled) last_cancel_ = std::max(last_cancel_, clock_.wall());
-    tell(f, error(404, "no such job"), answer);
-  });
+  look_up(Uid(uid), [this, answer](const Found& f) { tell(f, error(404, "no such job"), answer); });
 }
 
 void Admission::abort(const std::string& uid, Answer answer) {
@@ -324,8 +324,8 @@
       answer(error(404, "no such job"));
       return;
     }
-    last_cancel_ = std::max(last_cancel_, clock_.wall());
     if (f.job->record.cancelled) {
+      cancellations_.tell(uid, *f.job->record.cancelled);
       answer(state(uid, "cancelled"));
       return;
     }
@@ -334,9 +334,9 @@
     Txn txn;
     txn.guard(keys::job(uid), f.job->stamp).put(keys::job(uid), encode(record));
     mirror_.commit(Rank::binding, std::move(txn),
-                   [this, uid, tries, answer](const CommitResult& r) {
-                     last_cancel_ = std::max(last_cancel_, clock_.wall());
+                   [this, uid, tries, answer, at = *record.cancelled](const CommitResult& r) {
                      if (r.fate == Fate::done) {
+                       cancellations_.tell(uid, at);  // before the user: a peer may ask meanwhile
                        answer(state(uid, "cancelled"));
                      } else if (r.fate == Fate::refused) {
                        answer(undecided());
@@ -356,6 +356,8 @@
     if (!f.ok) {
       answer(undecided());
     } else if (f.job) {
+      if (f.job->record.cancelled)
+        cancellations_.tell(f.job->record.spec.uid, *f.job->record.cancelled);
       answer({200, explain(mirror_.records(), f.job->record, clock_.wall()), 0});
     } else {
       answer(f.final_job ? UserAnswer{200, explain(*f.final_job), 0} : error(404, "no such job"));
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "app/settings.hpp"
+#include "cancellations/cancellations.hpp"
 #include "store/mirror.hpp"
 
 namespace marblevale {
@@ -24,16 +25,14 @@
 
 class Admission {
  public:
-  Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror);
+  Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
+            Cancellations& cancellations);
 
   void submit(const std::string& body, Answer answer);
   void query(const std::string& uid, Answer answer);
   void abort(const std::string& uid, Answer answer);
   void why(const std::string& uid, Answer answer);
 
-  /// When this controller last sent or told a cancellation (its own start at the earliest).
-  [[nodiscard]] Wall last_cancel() const { return last_cancel_; }
-
  private:
   /// What is known of a job after a successful read.
   struct Found {
@@ -61,7 +60,7 @@
   const Settings& settings_;
   Store& store_;
   Mirror& mirror_;
-  Wall last_cancel_;
+  Cancellations& cancellations_;
   /// Questions about one job: those that the read on its way answers, and those that came after it
   /// was sent, which need another.
   struct Reading {
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -17,18 +17,20 @@
       settings_(settings),
       store_(loop, clock, settings.state, settings.store),
       mirror_(loop, clock, store_, nonce.get()),
+      cancellations_(clock, mirror_),
+      vouching_(settings.clock_error),
       election_(loop, settings, store_, mirror_, nonce),
       cloud_(loop, clock, settings.cloud, settings.cloud_rps),
       fleet_(loop, clock, settings, mirror_, election_, cloud_),
       granting_(loop, clock, settings, mirror_, election_, fleet_),
       grants_(loop, clock, settings, mirror_, election_),
       order_sender_(loop, order_connections(settings)),
-      holder_(loop, clock, settings, mirror_, election_, order_sender_),
+      holder_(loop, clock, settings, mirror_, election_, order_sender_, cancellations_),
       offers_(loop, settings, [this](const ReleaseOffer& offer) { return holder_.take(offer); }),
-      admission_(clock, settings, store_, mirror_),
+      admission_(clock, settings, store_, mirror_, cancellations_),
       pulses_(
           loop, clock, settings, [this] { return compose(); },
-          [this](const Pulse& pulse) { heard(pulse); }),
+          [this](const Pulse& pulse, bool newer) { heard(pulse, newer); }),
       peers_(loop, settings.peers_at,
              [this](const HttpRequest& request, const ResponderPtr& responder) {
                if (request.path == Pulses::kPath) {
@@ -47,6 +49,8 @@
 
 void Service::begin() {
   granting_.release_through(offers_);
+  cancellations_.on_told([this] { pulses_.hurry(); });
+  cancellations_.on_heard([this](const Uid& uid) { holder_.cancelled(uid); });
   mirror_.begin();
   election_.begin();
   fleet_.begin();
@@ -83,7 +87,7 @@
   pulse.node = settings_.node.get();
   pulse.nonce = election_.nonce().get();
   pulse.state_ok = state_answers(kStateSilence);
-  pulse.last_cancel_ms = admission_.last_cancel().ms;
+  pulse.cancellations = cancellations_.list();
   for (const ZoneId& zone : holder_.complaints()) {
     pulse.complaints.push_back(zone.get());
     grants_.complaint(zone, settings_.node);
@@ -91,15 +95,17 @@
   const auto dark = holder_.dark();
   for (const ZoneId& zone : dark) pulse.dark.push_back(zone.get());
   granting_.out_of_reach(settings_.node, dark);
-  if (!pulse.state_ok && mirror_.ready()) {
-    if (const auto since = pulses_.no_cancel_since(mirror_.fresh_until_wall())) {
-      holder_.extend_freshness(*since);
-    }
+  if (mirror_.ready() && cancellations_.kept_all()) {
+    const auto until = vouching_.until(clock_.steady(), clock_.wall(), mirror_.fresh_until_wall(),
+                                       pulses_.words());
+    if (until) holder_.extend_freshness(*until);
   }
   return pulse;
 }
 
-void Service::heard(const Pulse& pulse) {
+void Service::heard(const Pulse& pulse, bool newer) {
+  cancellations_.hear(pulse.cancellations);
+  if (!newer) return;
   // A late copy from an earlier life must not move a block.
   if (!mirror_.records().alive(NodeId(pulse.node), Nonce(pulse.nonce))) return;
   std::set<ZoneId> dark;
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -5,6 +5,7 @@
 #include "app/settings.hpp"
 #include "blocks/grants.hpp"
 #include "blocks/holder.hpp"
+#include "cancellations/cancellations.hpp"
 #include "election/election.hpp"
 #include "fleet/fleet.hpp"
 #include "peers/offers.hpp"
@@ -23,7 +24,7 @@
   bool healthy();
   [[nodiscard]] bool state_answers(Span within) const;
   Pulse compose();
-  void heard(const Pulse& pulse);
+  void heard(const Pulse& pulse, bool newer);
 
   void summarize();
 
@@ -32,6 +33,8 @@
   const Settings& settings_;
   StoreClient store_;
   Mirror mirror_;
+  Cancellations cancellations_;
+  Vouching vouching_;
   Election election_;
   CloudClient cloud_;
   Fleet fleet_;
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -13,6 +13,7 @@
 constexpr Span kKillEvery{1500};
 constexpr Span kRenewEvery{8'000};
 constexpr Span kCancelMargin{4'000};
+constexpr Span kBlind{2'500};  // without word of cancellations: nothing is started
 constexpr Span kStrayWindow{20'000};
 constexpr Span kStrayTime{6'000};
 constexpr Span kStrayRecent{5'000};
@@ -31,13 +32,14 @@
 }  // namespace
 
 Holder::Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
-               Election& election, OrderSender& orders)
+               Election& election, OrderSender& orders, Cancellations& cancellations)
     : meter_(loop.meter()),
       clock_(clock),
       settings_(settings),
       mirror_(mirror),
       election_(election),
       orders_(orders),
+      cancellations_(cancellations),
       machines_(mirror, Rank::binding,
                 [this](Txn& txn, const ZoneId& zone) {
                   if (holding(zone) != Holding::held) return false;
@@ -61,17 +63,9 @@
         }
         break;
       }
-      case Topic::job: {
-        const Uid uid(key);
-        for (auto it = mirror_.records().slices.lower_bound({uid, 0});
-             it != mirror_.records().slices.end() && it->first.first == uid; ++it) {
-          dirty_.insert(it->first);
-          for (const TaskRecord& task : it->second.record.tasks) {
-            if (task.placed()) wake_.insert(task.host);
-          }
-        }
+      case Topic::job:
+        look_at(Uid(key));
         break;
-      }
       case Topic::machine: {
         const auto placed = mirror_.records().placed.find(HostId(key));
         if (placed == mirror_.records().placed.end()) return;
@@ -90,7 +84,31 @@
   });
 }
 
-void Holder::begin() { sweep_timer_.start(kSweep); }
+void Holder::begin() {
+  const WorkerTimes& times = settings_.workers;
+  if (times.cancel - times.lease - kCancelMargin < times.report) {
+    spdlog::warn(
+        "holder: cancel_s leaves less than a report beyond lease_s: without word of the state "
+        "service no report is answered for longer than {} ms",
+        answer_limit().ms);
+  }
+  sweep_timer_.start(kSweep);
+}
+
+void Holder::look_at(const Uid& uid) {
+  for (auto it = mirror_.records().slices.lower_bound({uid, 0});
+       it != mirror_.records().slices.end() && it->first.first == uid; ++it) {
+    dirty_.insert(it->first);
+    for (const TaskRecord& task : it->second.record.tasks) {
+      if (task.placed()) wake_.insert(task.host);
+    }
+  }
+}
+
+void Holder::cancelled(const Uid& uid) {
+  look_at(uid);
+  if (!round_timer_.pending()) round_timer_.start(kCoalesce);
+}
 
 Warrant Holder::warrant_of(const ZoneId& zone) const {
   const auto it = mirror_.records().blocks.find(zone);
@@ -165,10 +183,38 @@
 Span Holder::silence_limit() const { return settings_.workers.report * 2.5; }
 
 Span Holder::answer_limit() const {
-  return settings_.workers.cancel - settings_.workers.lease - kCancelMargin;
+  // The worker's lease runs from the sending of the last report that was answered: one that was
+  // answered by then is over a margin before the task must be gone. The margin is for the drift of
+  // steady clocks (0.05% of cancel_s), for clocks that are off, and for the worker's own time.
+  const Span left = settings_.workers.cancel - settings_.workers.lease - kCancelMargin;
+  return std::max(left, kBlind);
 }
 
-void Holder::extend_freshness(Steady until) { extended_fresh_ = std::max(extended_fresh_, until); }
+Steady Holder::fresh() const { return std::max(mirror_.fresh_until(), extended_fresh_); }
+
+void Holder::extend_freshness(Steady until) {
+  // Where there is no time for it to be of use, nobody's word is taken for the state service's.
+  const WorkerTimes& times = settings_.workers;
+  if (times.cancel - times.lease - kCancelMargin < times.report) return;
+  extended_fresh_ = std::max(extended_fresh_, until);
+}
+
+bool Holder::must_lapse(const HostId& host, const Worker& worker) const {
+  // It still has a cancelled task, or may still start one, so long after the cancellation that a
+  // lease renewed now would outlast `cancel_s`. Neither the state service nor the cloud is needed
+  // to end the task: its machine's lease is left to lapse, whatever else runs there.
+  const auto placed = mirror_.records().placed.find(host);
+  if (placed == mirror_.records().placed.end()) return false;
+  const Wall now = clock_.wall() + settings_.clock_error * 2.0;
+  return std::any_of(placed->second.begin(), placed->second.end(), [&](const auto& entry) {
+    const auto at = cancellations_.cancelled_at(entry.first.uid);
+    if (!at || now - *at < answer_limit()) return false;
+    const TaskRecord* task = mirror_.records().task(entry.first);
+    if (task == nullptr || task->state != TaskState::bound) return false;
+    const Finding found = examine(entry.first, *task, worker.view, warrant_of(worker.zone));
+    return found == Finding::present || found == Finding::absent;
+  });
+}
 
 std::vector<ZoneId> Holder::complaints() {
   std::vector<ZoneId> out;
@@ -221,10 +267,9 @@
     out.open().put("steward", it->second.record.holder.get()).close();
     return {421, out.str()};
   };
-  const Steady fresh = std::max(mirror_.fresh_until(), extended_fresh_);
   // Without contact to the state service a cancellation may have been accepted that we can't see;
   // answering would keep the worker's lease, and the cancelled task, alive for too long.
-  const bool current = mirror_.ready() && now - fresh < answer_limit();
+  const bool current = mirror_.ready() && now - fresh() < answer_limit();
   if (!current || holding(report->district) != Holding::held) return redirect();
   take_blocks();
   const Warrant warrant = warrant_of(report->district);
@@ -239,6 +284,14 @@
   // that has seen a warrant of ours shows that it was sent since. (Warrants are renewed while a
   // block is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
+  const bool refused = must_lapse(report->host, worker);
+  if (refused && !worker.refused) {
+    spdlog::warn("holder: {} gets no answers: it still has a cancelled task", report->host.get());
+    meter_.count("leases left to lapse");
+  }
+  worker.refused = refused;
+  // Not sent on to anybody who would answer.
+  if (refused) return {503, R"({"error":"its lease must lapse"})"};
   if (!newer) return {200, write_answer(warrant, {})};
   worker.hearing.answered(now);
   if (report->warrant >= first_warrant_[report->district]) {
@@ -552,7 +605,7 @@
   const auto worker = workers_.find(task.host);
   if (worker == workers_.end()) return;
   const WorkerView& view = worker->second.view;
-  const bool unwanted = task.stop || records.job(id.uid)->cancelled;
+  const bool unwanted = task.stop || cancellations_.cancelled_at(id.uid);
   switch (examine(id, task, view, warrant_of(task.zone))) {
     case Finding::ended: {
       const ReportedTask* there = reported(view, id, task.attempt);
@@ -623,8 +676,8 @@
   const Stamp over = stored == nullptr ? Stamp{} : stored->stamp;
   // Whatever this copy lacks or has beyond the leader's, the guards would refuse as well.
   if (!records.leader || records.leader->stamp.get() != offer.term || job == records.jobs.end() ||
-      job->second.record.cancelled || over.get() != offer.over || committing_.contains(key) ||
-      offer.tasks.empty()) {
+      cancellations_.cancelled_at(key.first) || over.get() != offer.over ||
+      committing_.contains(key) || offer.tasks.empty()) {
     return false;
   }
   const JobSpec& spec = job->second.record.spec;
@@ -696,6 +749,7 @@
   const auto job_entry = records.jobs.find(key.first);
   if (stored == nullptr || job_entry == records.jobs.end()) return false;
   const JobRecord& job = job_entry->second.record;
+  const bool cancelled = job.cancelled || cancellations_.cancelled_at(key.first);
   SliceRecord slice = stored->record;
   std::set<ZoneId> zones;
   std::unordered_map<HostId, Room> promised;
@@ -713,7 +767,7 @@
       if (job.cancelled || task.stop) {
         // No start is sent before the binding is committed, so there is nothing to wait for.
         apply_end(task, job.spec, "never bound", false, clock_.wall());
-      } else {
+      } else if (!cancelled) {
         bind(slice, i, task, job.spec, promised);  // what has no room yet is tried at each sweep
       }
     } else {
@@ -791,22 +845,27 @@
   const Steady now = clock_.steady();
   const Warrant current = warrant_of(worker.zone);
   const WorkerView& view = worker.view;
+  // A job may have been cancelled without our knowledge: what runs may go on for a while, but
+  // nothing of it may start.
+  const bool blind = now - fresh() >= kBlind;
   if (const auto placed = records.placed.find(host); placed != records.placed.end()) {
     for (const auto& [id, attempt] : placed->second) {
       const TaskRecord* task = records.task(id);
       const JobRecord* job = records.job(id.uid);
       if (task == nullptr || job == nullptr || task->state != TaskState::bound) continue;
+      const bool cancelled = cancellations_.cancelled_at(id.uid).has_value();
       if (task->tenure != view.tenure || out.size() >= kMostOrders) continue;
       const ReportedTask* there = reported(view, id, attempt);
-      if (job->cancelled || task->stop) {
+      if (cancelled || task->stop) {
         if (there == nullptr || there->status == TaskStatus::ended) continue;
-        const Span leeway = job->cancelled ? Span{0} : task->stop->leeway;
+        const Span leeway = cancelled ? Span{0} : task->stop->leeway;
         if (there->status == TaskStatus::flushing && leeway > Span{0}) continue;
         auto& last = worker.kills[{id, attempt}];
         if (!in_answer && now - last < kKillEvery) continue;
         last = now;
         out.push_back({Verb::kill, id, attempt, leeway});
-      } else if (there == nullptr && !committing_.contains({id.uid, id.part / kSliceTasks})) {
+      } else if (there == nullptr && !blind &&
+                 !committing_.contains({id.uid, id.part / kSliceTasks})) {
         const auto direct = view.direct_starts.find({id, attempt});
         if (!in_answer && direct != view.direct_starts.end()) continue;  // once, then by answers
         out.push_back({Verb::start, id, attempt, {}});
@@ -845,12 +904,10 @@
   if (it == workers_.end()) return false;
   Worker& worker = it->second;
   if (holding(worker.zone) != Holding::held || worker.direct_busy) return false;
-  if (clock_.steady() - std::max(mirror_.fresh_until(), extended_fresh_) >= answer_limit()) {
-    return false;
-  }
   auto orders = orders_for(host, worker, false);
   const Steady now = clock_.steady();
-  const bool introduce = worker.hearing.introduction_due(now);
+  // A `kill` is right however old our word of the state service is: a start is not sent then.
+  const bool introduce = worker.hearing.introduction_due(now) && now - fresh() < answer_limit();
   if (orders.empty() && !introduce) return false;
   worker.hearing.introducing(now);
   send_direct(host, worker, std::move(orders));
@@ -979,7 +1036,7 @@
         wake_.insert(host);
       }
       const JobRecord* job = records.job(id.uid);
-      if (job != nullptr && job->cancelled) wake_.insert(host);
+      if (job != nullptr && cancellations_.cancelled_at(id.uid)) wake_.insert(host);
     }
   }
   if (!round_timer_.pending()) round_timer_.start(kCoalesce);
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -13,6 +13,7 @@
 #include "blocks/hearing.hpp"
 #include "blocks/order_sender.hpp"
 #include "blocks/proof.hpp"
+#include "cancellations/cancellations.hpp"
 #include "election/election.hpp"
 #include "net/http_server.hpp"
 #include "peers/offers.hpp"
@@ -34,7 +35,7 @@
 class Holder {
  public:
   Holder(Loop& loop, const Clock& clock, const Settings& settings, Mirror& mirror,
-         Election& election, OrderSender& orders);
+         Election& election, OrderSender& orders, Cancellations& cancellations);
 
   void begin();
   HelloAnswer hello(std::string_view body);
@@ -46,7 +47,9 @@
   [[nodiscard]] std::vector<ZoneId> complaints();
   /// Zones that are held here while none of their machines is heard: cut off, or not met yet.
   [[nodiscard]] std::set<ZoneId> dark() const;
-  /// The latest moment up to which no cancellation can have been accepted that we do not know of.
+  /// A peer was the first to tell that the job is cancelled.
+  void cancelled(const Uid& uid);
+  /// The latest moment up to which no cancellation can have been confirmed that we do not know of.
   void extend_freshness(Steady until);
 
  private:
@@ -57,6 +60,7 @@
     ZoneId zone;
     Steady heard;
     bool direct_busy = false;
+    bool refused = false;                                // its lease is left to lapse
     std::map<std::pair<TaskId, Attempt>, Steady> kills;  // last sent
     std::optional<Wall> recall;
     std::vector<std::pair<ImageId, double>> images;  // seen in use, as in the machine's record
@@ -70,6 +74,7 @@
     Steady since;
   };
 
+  void look_at(const Uid& uid);
   void take_blocks();
   void renew_warrant(const ZoneId& zone);
   [[nodiscard]] Holding holding(const ZoneId& zone) const;
@@ -103,7 +108,9 @@
   void put_machine(const HostId& host, MachineState state, const char* why, Uid blamed = {});
   void keep_images();
   void flush_soon();
+  [[nodiscard]] Steady fresh() const;
   [[nodiscard]] Span answer_limit() const;
+  [[nodiscard]] bool must_lapse(const HostId& host, const Worker& worker) const;
   [[nodiscard]] Span silence_limit() const;
 
   Meter& meter_;
@@ -112,6 +119,7 @@
   Mirror& mirror_;
   Election& election_;
   OrderSender& orders_;
+  Cancellations& cancellations_;
   std::map<ZoneId, Warrant> first_warrant_;  // with which the holding began
   std::map<ZoneId, Warrant> warrants_;       // as of the last take_blocks
   std::unordered_map<HostId, Worker> workers_;
--- a/src/peers/pulse.hpp
+++ b/src/peers/pulse.hpp
@@ -1,5 +1,6 @@
-// What controllers tell one another, once a second. It only makes things quicker or keeps a lease
-// alive; no rule depends on a message arriving.
+// What controllers tell one another, once a second, and at once when one of them has confirmed a
+// cancellation. It only makes things quicker or keeps a lease alive; no rule depends on a message
+// arriving.
 #pragma once
 
 #include <functional>
@@ -9,23 +10,28 @@
 #include <vector>
 
 #include "app/settings.hpp"
+#include "cancellations/cancellations.hpp"
 #include "net/http_server.hpp"
 
 namespace marblevale {
 
+/// Rises when the message's form does: one of another form is dropped.
+inline constexpr std::uint32_t kPulseFormat = 2;
+
 struct Pulse {
+  std::uint32_t format = kPulseFormat;
   std::string node;
   std::uint64_t nonce = 0;
   std::uint64_t serial = 0;             // rises with every pulse of this life
   std::uint64_t answers = 0;            // in an answer: the serial of the pulse that it answers
   bool state_ok = false;                // the state service answers this node
-  std::int64_t last_cancel_ms = 0;      // time of day of its last (possible) acceptance of a cancel
   std::vector<std::string> complaints;  // zones whose workers can't reach their holder
   std::vector<std::string> dark;        // zones that this node holds and can't reach
+  CancellationList cancellations;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(node, nonce, serial, answers, state_ok, last_cancel_ms, complaints, dark);
+    archive(format, node, nonce, serial, answers, state_ok, complaints, dark, cancellations);
   }
 };
 
@@ -55,27 +61,33 @@
  public:
   static constexpr const char* kPath = "/pulse";
   using Compose = std::function<Pulse()>;
-  using Heard = std::function<void(const Pulse&)>;
+  /// `newer`: false for a late copy, or one that others have overtaken.
+  using Heard = std::function<void(const Pulse&, bool newer)>;
 
   Pulses(Loop& loop, const Clock& clock, const Settings& settings, Compose compose, Heard heard);
   void begin();
+  /// Has the next pulses go out at once, or as soon as others have been answered.
+  void hurry();
   /// A peer's request on `kPath`.
   void serve(const HttpRequest& request, const ResponderPtr& responder);
 
   [[nodiscard]] PeersSay peers_say() const;
-  /// When every peer answered the last round with no cancellation accepted since `known`: the time
-  /// at which that round was sent.
-  [[nodiscard]] std::optional<Steady> no_cancel_since(Wall known) const;
+  /// What each peer has said of cancellations; nothing of one that has not answered lately.
+  [[nodiscard]] std::vector<std::optional<CancellationWord>> words() const;
 
  private:
   struct PeerState {
     std::unique_ptr<HttpClient> client;
     bool busy = false;
+    bool again = false;  // there was news while the last request waited for its answer
     std::optional<Pulse> last;
-    Steady asked;              // when the request that brought `last` was sent
+    Steady asked;  // when the request that brought `last` was sent
+    Wall asked_wall;
     std::uint64_t serial = 0;  // of the request that waits for its answer
   };
   void tick();
+  void answered(const NodeId& peer, Steady sent, Wall sent_wall, const HttpReply& reply);
+  void drop(const char* what);
 
   const Clock& clock_;
   const Settings& settings_;
@@ -83,6 +95,9 @@
   Heard heard_;
   PulseOrder order_;
   std::uint64_t serial_ = 0;
+  Steady last_tick_{-1'000'000};
+  bool hurried_ = false;
+  bool dropped_ = false;  // something that could not be read: logged once
   std::map<NodeId, PeerState> peers_;
   Timer timer_;
 };
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -27,7 +27,7 @@
 
 class AdmissionTest : public ::testing::Test {
  protected:
-  AdmissionTest() : mirror_(loop_, clock_, store_, 1) {
+  AdmissionTest() : mirror_(loop_, clock_, store_, 1), cancellations_(clock_, mirror_) {
     Team team;
     team.name = TeamId("vision");
     team.gpus_max = 4;
@@ -38,7 +38,7 @@
     type.zones = {ZoneId("a")};
     store_.put(keys::kTypes, encode(std::vector<MachineType>{type}));
     mirror_.begin();
-    admission_ = std::make_unique<Admission>(clock_, settings_, store_, mirror_);
+    admission_ = std::make_unique<Admission>(clock_, settings_, store_, mirror_, cancellations_);
   }
 
   UserAnswer submit(const std::string& body) {
@@ -84,6 +84,7 @@
   Settings settings_;
   ScriptedStore store_;
   Mirror mirror_;
+  Cancellations cancellations_;
   std::unique_ptr<Admission> admission_;
 };
 
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -273,12 +273,16 @@
   Pulse pulse;
   pulse.node = "n1";
   pulse.complaints = {"a", "b"};
+  pulse.cancellations.items = {{"req-1", 17}};
   const std::string bytes = encode(pulse);
   ASSERT_TRUE(decode_pulse(bytes));
   EXPECT_EQ(decode_pulse(bytes)->complaints.size(), 2U);
+  EXPECT_EQ(decode_pulse(bytes)->cancellations.items.at(0).at_ms, 17);
   for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
     EXPECT_FALSE(decode_pulse(bytes.substr(0, cut)));
   }
+  pulse.format += 1;
+  EXPECT_FALSE(decode_pulse(encode(pulse))) << "of another version";
 }
 
 TEST(Demand, RentsTheCheapestKindThatSavesWaiting) {
--- a/tests/holder_fixture.hpp
+++ b/tests/holder_fixture.hpp
@@ -27,7 +27,8 @@
   HolderTest()
       : mirror_(loop_, time_, store_, 1),
         election_(loop_, settings(), store_, mirror_, Nonce(7)),
-        holder_(loop_, time_, settings_, mirror_, election_, workers_) {
+        cancellations_(time_, mirror_),
+        holder_(loop_, time_, settings_, mirror_, election_, workers_, cancellations_) {
     MachineType type;
     type.name = "g8";
     type.room = {96, 8, 768};
@@ -139,6 +140,7 @@
   ScriptedWorkers workers_;
   Mirror mirror_;
   Election election_;
+  Cancellations cancellations_;
   Holder holder_;
   Warrant warrant_;
   std::uint64_t tally_ = 0;
