A cancelled job ends only when every binding before the cancellation is known

Cause, found by reading: a controller's own commits are in its copy ahead of the watch. A leader that took a cancellation itself could end the job over a binding that its copy did not have yet: the task ran on, killed by nobody, counted by nobody, until the slice was swept. Now the watch must have told everything up to the cancellation. A task whose job is in no record is killed though its slice is left. Both tests fail without their guards (the first crashed housekeeping, which went on iterating over a record that a commit answered at once had removed: mended).

--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -876,8 +876,10 @@
     if (out.size() >= kMostOrders) break;
     const auto& [id, attempt] = key;
     const TaskRecord* record = records.task(id);
-    const bool bound_here =
-        record != nullptr && record->placed() && record->host == host && record->attempt == attempt;
+    const bool wanted =
+        records.jobs.contains(id.uid) || records.unreadable.contains(keys::job(id.uid));
+    const bool bound_here = wanted && record != nullptr && record->placed() &&
+                            record->host == host && record->attempt == attempt;
     if (bound_here) continue;
     if (task.status != TaskStatus::ended) {
       // Nothing is meant to run here under this attempt: a gang's peer after its end, or a start
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -244,7 +244,10 @@
     for (const TaskRecord& t : it->second.record.tasks) placed = placed || t.placed();
   }
   const bool finished = done == slices;
-  const bool cancelled = job.record.cancelled && !placed;
+  // This controller's own commits are in its copy ahead of the watch: a binding from just before
+  // the cancellation may not be there yet. All later ones fail by the job's stamp.
+  const bool all_seen = mirror_.revision().get() >= job.stamp.get();
+  const bool cancelled = job.record.cancelled && !placed && all_seen;
   if ((!finished && !cancelled) || !ending_.insert(uid).second) return false;
   FinalRecord record;
   record.uid = uid;
@@ -268,8 +271,9 @@
 void Granting::housekeep() {
   const auto& records = mirror_.records();
   std::set<HostId> strays;
+  std::vector<Uid> to_end;  // a job that ends leaves the records
   for (const auto& [uid, job] : records.jobs) {
-    if (job.record.cancelled || slice_count(job.record.spec) > 1) end_job(uid, job);
+    if (job.record.cancelled || slice_count(job.record.spec) > 1) to_end.push_back(uid);
     if (!job.record.cancelled) continue;
     // A cancelled task whose machine does not confirm its end: the machine is deleted in time.
     const Span since = clock_.wall() - *job.record.cancelled;
@@ -281,6 +285,10 @@
       }
     }
   }
+  for (const Uid& uid : to_end) {
+    const auto job = records.jobs.find(uid);
+    if (job != records.jobs.end()) end_job(uid, job->second);
+  }
   // A task on a machine that no record knows: nobody could prove it gone but the cloud.
   for (const auto& [host, placed] : records.placed) {
     if (!records.machines.contains(host)) strays.insert(host);
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -135,6 +135,29 @@
   Granting granting_;
 };
 
+// The job would be over, and nobody would stop the task: found by reading.
+TEST_F(LeaderTest, ACancelledJobEndsOnlyWhenEveryBindingBeforeTheCancellationIsKnown) {
+  begin();
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{200});
+  ASSERT_TRUE(mirror_.records().job(Uid("req-1")));
+  // A holder binds it; before the watch tells, this controller itself takes the cancellation.
+  set_task("req-1", bound("vm-1"));
+  JobRecord job = *mirror_.records().job(Uid("req-1"));
+  job.cancelled = time_.wall();
+  Txn txn;
+  txn.guard(keys::job(Uid("req-1")), store_.get(keys::job(Uid("req-1")))->stamp);
+  txn.put(keys::job(Uid("req-1")), encode(job));
+  mirror_.commit(Rank::binding, std::move(txn), [](const CommitResult&) {});
+  time_.advance(Span{1'000});
+  EXPECT_TRUE(store_.get(keys::job(Uid("req-1"))));
+  run(Span{1'000});
+  EXPECT_TRUE(store_.get(keys::job(Uid("req-1")))) << "its task is on its machine";
+  set_task("req-1", TaskRecord{});
+  run(Span{1'000});
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+}
+
 TEST_F(LeaderTest, ReleasesAndGrantsUnderItsTerm) {
   machine("vm-1");
   begin();
--- a/tests/holder_test.cpp
+++ b/tests/holder_test.cpp
@@ -170,6 +170,16 @@
   EXPECT_NE(entry->value.find("cancelled"), std::string::npos);
 }
 
+TEST_F(HolderTest, WhatBelongsToNoJobIsKilledThoughItsSliceIsLeft) {
+  bind_and_start();
+  Txn txn;
+  txn.remove(keys::job(Uid("req-1")));
+  store_.commit(Rank::record, txn, [](const CommitResult&) {});
+  run(Span{50});
+  ASSERT_TRUE(mirror_.records().placed.contains(HostId("vm-1")));
+  EXPECT_NE(hello(1, warrant(), part("running")).body.find("kill"), std::string::npos);
+}
+
 TEST_F(HolderTest, DoneIsCommittedWithTheEndOfItsLastTask) {
   bind_and_start();
   hello(1, warrant(), part("ended", "done"));
