A machine that hears orders but does not report is not taken for healthy

Cause: the answer to a direct order set the time at which the machine was last heard and wrote "reports again", though only its own reports renew its lease. A machine that reaches no controller thus stayed in use, got new work, and lost it at each lapse of its session.

Now its own reports alone keep it in use; from the taking over of a block, and from the moment at which a dark zone comes into reach, it has the silence limit in which to report, so that a block that comes is used at once. One that was recorded as silent has to report first. Nothing is bound to a machine past the limit, also where none of the block reports. While a silent machine holds tasks, an order without commands asks it every 5 s; the new session in its answer, also in a refusal, proves its tasks lost without waiting for its deletion.

--- a/src/blocks/hearing.cpp
+++ b/src/blocks/hearing.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr Span kIntroduceEvery{2'000};
+constexpr Span kInspectEvery{5'000};
 constexpr double kUnheardReports = 2.5;  // reports after which a start must show
 constexpr int kUnheardAnswers = 2;       // that bore it
 }  // namespace
@@ -47,6 +48,7 @@
 }
 
 bool Hearing::introduction_due(Steady now) const {
+  if (inspect_ && now - last_inspection_ >= kInspectEvery) return true;
   return !introduced() && now - last_introduction_ >= kIntroduceEvery;
 }
 
--- a/src/blocks/hearing.hpp
+++ b/src/blocks/hearing.hpp
@@ -36,9 +36,11 @@
   [[nodiscard]] bool introduced() const { return introduced_ != Warrant{}; }
   /// Known to have heard of us under this warrant.
   [[nodiscard]] bool introduced_under(Warrant warrant) const { return introduced_ == warrant; }
-  /// Whether it is time to introduce ourselves by an order.
+  /// Whether it is time for an order without commands: to introduce ourselves, or to inspect it.
   [[nodiscard]] bool introduction_due(Steady now) const;
-  void introducing(Steady now) { last_introduction_ = now; }
+  void introducing(Steady now) { last_introduction_ = last_inspection_ = now; }
+  /// Whether to ask it now and then for its session and tasks, since it does not report them.
+  void inspect(bool wanted) { inspect_ = wanted; }
   void introduce_again() { last_introduction_ = Steady{-1'000'000}; }
 
  private:
@@ -51,6 +53,8 @@
   bool deaf_ = false;   // it reports, but nothing that is said to it arrives
   Steady answered_{-1'000'000};
   Steady last_introduction_{-1'000'000};
+  Steady last_inspection_{-1'000'000};
+  bool inspect_ = false;
   std::map<std::pair<TaskId, Attempt>, Unseen> unseen_;  // starts that were sent and don't show
 };
 
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -136,7 +136,7 @@
         if (machine.record.zone != zone || machine.record.state >= MachineState::deleting) continue;
         Worker& worker = workers_[host];
         worker.zone = zone;
-        worker.heard = clock_.steady();
+        may_report(host, worker, clock_.steady());
         worker.view.address = machine.record.address;
         wake_.insert(host);
       }
@@ -301,6 +301,23 @@
   worker.hearing.mark_deaf();
 }
 
+void Holder::may_report(const HostId& host, Worker& worker, Steady now) const {
+  // One that an earlier holder found silent has to report first.
+  const auto machine = mirror_.records().machines.find(host);
+  if (machine != mirror_.records().machines.end() &&
+      machine->second.record.state == MachineState::silent) {
+    return;
+  }
+  worker.heard = now;
+}
+
+void Holder::look_for_mute(const HostId& host, Worker& worker) {
+  // It may reach no controller and hear orders all the same. What becomes of its tasks, and that
+  // its lease has lapsed, is then told by its answers only.
+  worker.hearing.inspect(silent(host) && mirror_.records().placed.contains(host));
+  if (worker.hearing.introduction_due(clock_.steady())) wake_.insert(host);
+}
+
 void Holder::look_for_deaf(const HostId& host, Worker& worker) {
   const Steady now = clock_.steady();
   const Span report = settings_.workers.report;
@@ -339,7 +356,7 @@
   const MachineRecord& record = it->second.record;
   if (worker.recall && (record.state == MachineState::up || record.state == MachineState::silent)) {
     put_machine(report.host, MachineState::draining, "the cloud takes it back");
-  } else if (record.state == MachineState::silent && !worker.hearing.deaf()) {
+  } else if (record.state == MachineState::silent && !silent(report.host)) {
     put_machine(report.host, MachineState::up, "reports again");
   }
 }
@@ -462,8 +479,9 @@
   const auto worker = workers_.find(host);
   if (machine == records.machines.end() || worker == workers_.end()) return false;
   if (machine->second.record.state != MachineState::up || worker->second.recall) return false;
-  // Nothing is bound to a machine that has not shown, under this warrant, that it hears us.
-  if (worker->second.view.tenure == Tenure{} || worker->second.hearing.deaf() ||
+  // Nothing is bound to a machine that has not shown, under this warrant, that it hears us, nor to
+  // one that does not report: its lease lapses.
+  if (worker->second.view.tenure == Tenure{} || silent(host) ||
       !worker->second.hearing.introduced()) {
     return false;
   }
@@ -878,7 +896,6 @@
                      // The answer of 409 tells the session; then the order can be given.
                      if (it->second.view.tenure == Tenure{}) wake_.insert(host);
                      it->second.hearing.introduce_again();
-                     it->second.heard = clock_.steady();
                      absorb(it->second, *report);
                      note_machine(*report, it->second);
                    }
@@ -901,7 +918,9 @@
   // silent.
   std::set<ZoneId> still_dark = dark();
   for (auto& [host, worker] : workers_) {
-    if (dark_.contains(worker.zone) && !still_dark.contains(worker.zone)) worker.heard = now;
+    if (dark_.contains(worker.zone) && !still_dark.contains(worker.zone)) {
+      may_report(host, worker, now);
+    }
   }
   dark_ = std::move(still_dark);
   if (now - mirror_.fresh_until() >= silence_limit()) {
@@ -966,6 +985,7 @@
   });
   for (auto& [host, worker] : workers_) {
     if (!worker.hearing.introduced()) wake_.insert(host);
+    look_for_mute(host, worker);
     look_for_deaf(host, worker);
   }
   keep_images();
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -55,7 +55,9 @@
   struct Worker {
     WorkerView view;
     ZoneId zone;
-    Steady heard;
+    /// Its last report, or since when it could have reported here. An answer to an order is none:
+    /// a machine that reaches no controller hears orders all the same, while its lease lapses.
+    Steady heard{-1'000'000};
     bool direct_busy = false;
     std::map<std::pair<TaskId, Attempt>, Steady> kills;  // last sent
     std::optional<Wall> recall;
@@ -97,6 +99,8 @@
   void send_direct(const HostId& host, Worker& worker, std::vector<Order> orders);
   bool absorb(Worker& worker, const Report& report);
   void mark_deaf(const HostId& host, Worker& worker, const char* why);
+  void may_report(const HostId& host, Worker& worker, Steady now) const;
+  void look_for_mute(const HostId& host, Worker& worker);
   void look_for_deaf(const HostId& host, Worker& worker);
   void note_machine(const Report& report, Worker& worker);
   [[nodiscard]] bool silent(const HostId& host) const;
--- /dev/null
+++ b/tests/worker_meetings_test.cpp
@@ -0,0 +1,149 @@
+// A holder and its workers when two troubles meet: machines that are mute or deaf, reports, orders
+// and answers that are held up, a block that moves meanwhile, two lives of one node.
+#include "holder_fixture.hpp"
+
+namespace marblevale {
+namespace {
+
+using testing::HolderTest;
+using testing::Script;
+
+class WorkerMeeting : public HolderTest {
+ protected:
+  [[nodiscard]] MachineState machine_state(const std::string& host = "vm-1") const {
+    const auto it = mirror_.records().machines.find(HostId(host));
+    return it == mirror_.records().machines.end() ? MachineState::gone : it->second.record.state;
+  }
+
+  /// vm-1 answers the orders that wait for it, one after the other, with a newer report.
+  void answer_orders(int status, std::uint64_t tenure = 1, const std::string& parts = "") {
+    for (; answered_ < workers_.sent.size(); ++answered_) {
+      const auto then = workers_.sent[answered_].then;
+      then({status, false,
+            R"({"host":"vm-1","address":"10.1.0.1:9000","build":"g8","district":"a",)"
+            R"("loaners":false,"tenure":)" +
+                std::to_string(tenure) + R"(,"tally":)" + std::to_string(++tally_) +
+                R"(,"warrant":)" + std::to_string(warrant()) + R"(,"recall_s":null,"parts":[)" +
+                parts + "]}"});
+    }
+  }
+
+  /// vm-1 reports to nobody, but answers orders; vm-2 reports as its times have it.
+  void mute_for(Span span, std::uint64_t tenure, const std::string& parts, int status = 200) {
+    for (std::int64_t at = 0; at < span.ms; at += 500) {
+      if (at % 3000 == 0) hello(1, warrant(), "", "vm-2");
+      answer_orders(status, tenure, parts);
+      run(Span{500});
+    }
+  }
+
+  /// A gang that is bound to vm-1, vm-2 and so on in this order.
+  void put_bound_gang(std::uint32_t parts, Wall running) {
+    JobRecord job{testing::gang("req-1", parts, 1, 100), time_.wall(), std::nullopt};
+    store_.put(keys::job(job.spec.uid), encode(job));
+    SliceRecord slice;
+    slice.uid = job.spec.uid;
+    for (std::uint32_t i = 0; i < parts; ++i) {
+      TaskRecord task;
+      task.state = TaskState::bound;
+      task.attempt = Attempt(2);
+      task.zone = ZoneId("a");
+      task.host = HostId("vm-" + std::to_string(i + 1));
+      task.tenure = Tenure(1);
+      task.running = running;
+      slice.tasks.push_back(task);
+    }
+    store_.put(keys::slice(slice.uid, 0), encode(slice));
+    run(Span{50});
+  }
+
+  static std::string item(const std::string& id, const std::string& status,
+                          const std::string& cause = "", std::uint64_t attempt = 2) {
+    return R"({"part":")" + id + R"(","try":)" + std::to_string(attempt) + R"(,"status":")" +
+           status + R"(","cause":")" + cause + R"("})";
+  }
+
+  [[nodiscard]] TaskState state_of(std::size_t index) const {
+    return mirror_.records().slice(Uid("req-1"), 0)->record.tasks.at(index).state;
+  }
+
+  [[nodiscard]] bool told(std::size_t from, const std::string& order) const {
+    return std::any_of(workers_.sent.begin() + static_cast<std::ptrdiff_t>(from),
+                       workers_.sent.end(),
+                       [&](const auto& s) { return s.body.find(order) != std::string::npos; });
+  }
+
+  std::size_t answered_ = 0;  // of the orders that were sent
+};
+
+// A mute machine reaches no controller, while direct commands reach it.
+
+TEST_F(WorkerMeeting, AnswersToOrdersDoNotMakeAMuteMachineLookHealthy) {
+  bind_and_start();
+  hello(1, warrant(), "", "vm-2");
+  mute_for(Span{12'000}, 1, part("running"));
+  EXPECT_EQ(machine_state(), MachineState::silent) << "its lease is not renewed";
+  mute_for(Span{9'000}, 1, part("running"));
+  EXPECT_EQ(machine_state(), MachineState::silent) << "orders that it answers do not bring it back";
+  EXPECT_EQ(task().state, TaskState::bound);
+  hello(1, warrant(), part("running"));
+  run(Span{600});
+  EXPECT_EQ(machine_state(), MachineState::up);
+}
+
+TEST_F(WorkerMeeting, NothingIsBoundToAMachineThatHasNotReportedForAWhile) {
+  hello(1, warrant());
+  run(Span{600});
+  ASSERT_EQ(machine_state(), MachineState::up);
+  run(Span{8'000});
+  ASSERT_EQ(machine_state(), MachineState::up) << "no machine reports: the fault may be ours";
+  release();
+  run(Span{600});
+  EXPECT_EQ(task().state, TaskState::released);
+  hello(1, warrant());
+  run(Span{600});
+  EXPECT_EQ(task().state, TaskState::bound);
+}
+
+TEST_F(WorkerMeeting, AMuteMachinesNewSessionIsToldByItsAnswerAndFreesItsTasks) {
+  bind_and_start();
+  hello(1, warrant(), "", "vm-2");
+  mute_for(Span{24'000}, 1, part("running"));
+  ASSERT_EQ(task().state, TaskState::bound);
+  mute_for(Span{6'000}, 2, "", 409);
+  EXPECT_EQ(task().state, TaskState::idle) << "without waiting for its deletion";
+  EXPECT_EQ(machine_state(), MachineState::silent);
+}
+
+TEST_F(WorkerMeeting, ABlockThatComesUsesItsMachinesAtOnceButForSilentOnes) {
+  MachineRecord machine;
+  machine.host = HostId("vm-1");
+  machine.address = "10.1.0.1:9000";
+  machine.build = "g8";
+  machine.zone = ZoneId("a");
+  store_.put_machine(machine);
+  give_block("other", 9);
+  give_block("me", 7);
+  answer_orders(409);
+  run(Span{500});
+  answer_orders(200);
+  release();
+  run(Span{600});
+  EXPECT_EQ(task().state, TaskState::bound) << "it has had no time to report";
+
+  give_block("other", 9);
+  machine.state = MachineState::silent;
+  store_.put_machine(machine);
+  give_block("me", 7);
+  answer_orders(200);
+  run(Span{600});
+  answer_orders(200);
+  run(Span{600});
+  EXPECT_EQ(machine_state(), MachineState::silent) << "it may be mute: it has to report first";
+  hello(1, warrant());
+  run(Span{600});
+  EXPECT_EQ(machine_state(), MachineState::up);
+}
+
+}  // namespace
+}  // namespace marblevale
