A task that nobody wants on its machine is killed by direct order too

Cause: the rounds of direct orders noted a kill for such a task as sent without sending it. On a machine to which orders were due every half second, the kill then fell into the pause of the one before and seldom got into an answer; on one that does not report there was none at all.

The guard was taken out (kills in answers only) to see WorkerMeeting.AStartThatCameTooLateIsKilledOnAMuteMachineToo fail.

--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -844,7 +844,7 @@
       auto& last = worker.kills[key];
       if (now - last < kKillEvery) continue;
       last = now;
-      if (in_answer) out.push_back({Verb::kill, id, attempt, {}});
+      out.push_back({Verb::kill, id, attempt, {}});
     } else if (in_answer) {
       // After a clear the worker would start a late or repeated start order once more.
       if (view.start_settled(id, attempt, current)) {
--- a/tests/worker_meetings_test.cpp
+++ b/tests/worker_meetings_test.cpp
@@ -145,5 +145,13 @@
   EXPECT_EQ(machine_state(), MachineState::up);
 }
 
+TEST_F(WorkerMeeting, AStartThatCameTooLateIsKilledOnAMuteMachineToo) {
+  bind_and_start();
+  hello(1, warrant(), "", "vm-2");
+  const auto before = workers_.sent.size();
+  mute_for(Span{12'000}, 1, part("running") + "," + item("req-9/0", "running", "", 1));
+  EXPECT_TRUE(told(before, R"("verb":"kill","part":"req-9/0")"));
+}
+
 }  // namespace
 }  // namespace marblevale
