A report that was held up, or copied, does not make its machine deaf

Cause: a session that lapses within a lease of an answer was taken as a sign that the machine does not hear. The answer to a report that was held up while the machine was cut off for longer than its lease, or to a copy from before the block moved, is such an answer, though the machine never had it: after a cut, machines were called silent as they came back, until an order had reached them.

Now only reports of this holding count as answered, and the answers must have gone on without a gap for half a lease.

Each guard was taken out to see its test fail: the run of answers (AReportThatWasHeldUp...), the warrant (CopiesFromBeforeTheBlockMoved...), and the order of sessions in examine() (WorkerMeetingProof.AReportOfAnEarlierSessionProvesNothing), which had no test.

--- a/src/blocks/hearing.cpp
+++ b/src/blocks/hearing.cpp
@@ -25,9 +25,16 @@
   if (in_answer) ++unseen.answers;
 }
 
+void Hearing::answered(Steady now, Span lease) {
+  if (now - answered_ >= lease * 0.5) answered_since_ = now;
+  answered_ = now;
+}
+
 bool Hearing::session_changed(Steady now, Span lease) {
   unseen_.clear();
-  return now - answered_ < lease;
+  // One report that was held up while the lease lapsed for other reasons, and is answered now, does
+  // not show that the machine had the answer.
+  return now - answered_ < lease && now - answered_since_ >= lease * 0.5;
 }
 
 bool Hearing::misses_starts(const WorkerView& view, Steady now, Span report) const {
--- a/src/blocks/hearing.hpp
+++ b/src/blocks/hearing.hpp
@@ -14,8 +14,8 @@
   void heard(Warrant warrant);
   /// An order was answered: whatever was thought of it before, it hears.
   void confirmed(Warrant warrant);
-  /// A report of it was answered at this moment.
-  void answered(Steady now) { answered_ = now; }
+  /// A report that it sent under this holding was answered at this moment.
+  void answered(Steady now, Span lease);
   /// A start was sent: by itself, or in the answer to a report.
   void start_sent(const TaskId& id, Attempt attempt, Steady now, bool in_answer);
   /// It is in a new session: what was sent to the old one is void. True when the old one lapsed
@@ -49,9 +49,10 @@
     int answers = 0;  // to reports, each of which bore it
   };
 
-  Warrant introduced_;  // 0: not known
-  bool deaf_ = false;   // it reports, but nothing that is said to it arrives
-  Steady answered_{-1'000'000};
+  Warrant introduced_;                 // 0: not known
+  bool deaf_ = false;                  // it reports, but nothing that is said to it arrives
+  Steady answered_{-1'000'000};        // last
+  Steady answered_since_{-1'000'000};  // without a gap
   Steady last_introduction_{-1'000'000};
   Steady last_inspection_{-1'000'000};
   bool inspect_ = false;
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -240,8 +240,8 @@
   // block is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
   if (!newer) return {200, write_answer(warrant, {})};
-  worker.hearing.answered(now);
   if (report->warrant >= first_warrant_[report->district]) {
+    worker.hearing.answered(now, settings_.workers.lease);
     worker.heard = now;
     worker.hearing.heard(warrant);
     note_machine(*report, worker);
--- a/tests/worker_meetings_test.cpp
+++ b/tests/worker_meetings_test.cpp
@@ -145,6 +145,51 @@
   EXPECT_EQ(machine_state(), MachineState::up);
 }
 
+// Reports that are held back, old ones, and copies.
+
+TEST_F(WorkerMeeting, AReportThatWasHeldUpDoesNotMakeAMachineDeaf) {
+  hello(1, warrant());
+  run(Span{30'000});    // cut off, until its lease is over
+  hello(1, warrant());  // sent before
+  run(Span{1'000});
+  hello(2, warrant());
+  run(Span{600});
+  release();
+  run(Span{600});
+  EXPECT_EQ(task().state, TaskState::bound) << "nothing shows that it had the late answer";
+}
+
+TEST_F(WorkerMeeting, CopiesFromBeforeTheBlockMovedDoNotMakeAMachineDeaf) {
+  hello(1, warrant());
+  run(Span{600});
+  const auto old = warrant();
+  give_block("other", 9);
+  give_block("me", 7);
+  for (int i = 0; i < 5; ++i) {
+    hello(1, old);  // held back, and a newer one each time
+    run(Span{3'000});
+  }
+  hello(2, warrant());
+  run(Span{600});
+  release();
+  run(Span{600});
+  EXPECT_EQ(task().state, TaskState::bound);
+}
+
+TEST(WorkerMeetingProof, AReportOfAnEarlierSessionProvesNothing) {
+  TaskRecord task;
+  task.state = TaskState::bound;
+  task.attempt = Attempt(2);
+  task.tenure = Tenure(3);
+  Report report;
+  report.tenure = Tenure(2);
+  report.tally = Tally(900);
+  report.warrant = Warrant(10);
+  WorkerView view;
+  view.take(report);
+  EXPECT_EQ(examine({Uid("req-1"), 0}, task, view, Warrant(10)), Finding::absent);
+}
+
 TEST_F(WorkerMeeting, AStartThatCameTooLateIsKilledOnAMuteMachineToo) {
   bind_and_start();
   hello(1, warrant(), "", "vm-2");
