The answer to an order settles no start that is in the held-up answer to a report

Cause: a start in the answer to a report counted as executed or dropped as soon as anything with a higher tally had come from the machine. Answers to direct orders raise the tally, too, and can overtake the answer to the report, which the worker accepts for 4 s.

Now only the next report that the machine sends by itself settles it; it has a single one in flight.

Each guard was taken out to see its test fail: the source of the report in WorkerView::take (AnAnswerToAnOrder...), and direct starts that outlive their answer (AStartThatWasAnswered..., tried by forgetting them at a 200).

--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -259,9 +259,9 @@
   return {200, write_answer(warrant, orders)};
 }
 
-bool Holder::absorb(Worker& worker, const Report& report) {
+bool Holder::absorb(Worker& worker, const Report& report, WorkerView::Source source) {
   const Tenure before = worker.view.tenure;
-  if (!worker.view.take(report)) return false;
+  if (!worker.view.take(report, source)) return false;
   if (report.tenure > before &&
       worker.hearing.session_changed(clock_.steady(), settings_.workers.lease) &&
       before != Tenure{}) {
@@ -896,7 +896,7 @@
                      // The answer of 409 tells the session; then the order can be given.
                      if (it->second.view.tenure == Tenure{}) wake_.insert(host);
                      it->second.hearing.introduce_again();
-                     absorb(it->second, *report);
+                     absorb(it->second, *report, WorkerView::Source::order);
                      note_machine(*report, it->second);
                    }
                  }
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -97,7 +97,8 @@
   /// True when something was sent.
   bool direct(const HostId& host);
   void send_direct(const HostId& host, Worker& worker, std::vector<Order> orders);
-  bool absorb(Worker& worker, const Report& report);
+  bool absorb(Worker& worker, const Report& report,
+              WorkerView::Source source = WorkerView::Source::worker);
   void mark_deaf(const HostId& host, Worker& worker, const char* why);
   void may_report(const HostId& host, Worker& worker, Steady now) const;
   void look_for_mute(const HostId& host, Worker& worker);
--- a/src/blocks/proof.cpp
+++ b/src/blocks/proof.cpp
@@ -2,11 +2,14 @@
 
 namespace marblevale {
 
-bool WorkerView::take(const Report& report) {
+bool WorkerView::take(const Report& report, Source source) {
   const bool newer = report.tenure > tenure || (report.tenure == tenure && report.tally > tally);
   if (!newer) return false;
+  // What was said in answer to an earlier session's reports is dropped.
+  if (report.tenure > tenure) answered_starts.clear();
   tenure = report.tenure;
   tally = report.tally;
+  if (source == Source::worker) reported = report.tally;
   warrant = std::max(warrant, report.warrant);
   address = report.address;
   tasks.clear();
@@ -16,7 +19,7 @@
 
 void WorkerView::prune() {
   std::erase_if(direct_starts, [this](const auto& entry) { return entry.second < warrant; });
-  std::erase_if(answered_starts, [this](const auto& entry) { return entry.second < tally; });
+  std::erase_if(answered_starts, [this](const auto& entry) { return entry.second < reported; });
 }
 
 bool WorkerView::start_settled(const TaskId& id, Attempt attempt, Warrant current) const {
@@ -25,7 +28,7 @@
   const auto direct = direct_starts.find({id, attempt});
   if (direct != direct_starts.end() && direct->second >= warrant) return false;
   const auto answered = answered_starts.find({id, attempt});
-  return answered == answered_starts.end() || answered->second < tally;
+  return answered == answered_starts.end() || answered->second < reported;
 }
 
 const ReportedTask* reported(const WorkerView& worker, const TaskId& id, Attempt attempt) {
--- a/src/blocks/proof.hpp
+++ b/src/blocks/proof.hpp
@@ -20,12 +20,16 @@
   /// Starts that were sent to `/orders` and the warrant they bore. Such a start may arrive minutes
   /// late, or twice, until the worker has seen a higher warrant or begun another session.
   std::map<std::pair<TaskId, Attempt>, Warrant> direct_starts;
+  /// Of the last report that it sent by itself, not in answer to an order.
+  Tally reported;
   /// Starts given in the answer to a report, and that report's tally. The worker executes or drops
-  /// the answer before its next report.
+  /// the answer before its next report. An answer to an order may overtake it: it settles nothing.
   std::map<std::pair<TaskId, Attempt>, Tally> answered_starts;
 
+  enum class Source { worker, order };  // sent by itself, or in answer to an order
+
   /// Takes a report in; false when it is not newer than what is known.
-  bool take(const Report& report);
+  bool take(const Report& report, Source source = Source::worker);
   /// True when no start of this attempt that was sent can still be executed there. `current` is the
   /// warrant that we hold: below it, earlier holders' orders may still be on their way.
   [[nodiscard]] bool start_settled(const TaskId& id, Attempt attempt, Warrant current) const;
--- a/tests/worker_meetings_test.cpp
+++ b/tests/worker_meetings_test.cpp
@@ -190,6 +190,51 @@
   EXPECT_EQ(examine({Uid("req-1"), 0}, task, view, Warrant(10)), Finding::absent);
 }
 
+// A command or its answer held up for seconds.
+
+TEST_F(WorkerMeeting, AnAnswerToAnOrderSettlesNoStartThatIsInAHeldUpAnswer) {
+  bind_and_start();  // the order is on its way, so that the next start goes by an answer
+  JobRecord job{testing::gang("req-2", 1, 1, 100), time_.wall(), std::nullopt};
+  store_.put(keys::job(job.spec.uid), encode(job));
+  SliceRecord slice;
+  slice.uid = job.spec.uid;
+  slice.tasks.resize(1);
+  slice.tasks[0].state = TaskState::released;
+  slice.tasks[0].attempt = Attempt(1);
+  slice.tasks[0].zone = ZoneId("a");
+  slice.tasks[0].host = HostId("vm-1");
+  slice.tasks[0].since = time_.wall();
+  store_.put(keys::slice(slice.uid, 0), encode(slice));
+  run(Span{100});
+  const auto state = [&] {
+    return mirror_.records().slice(Uid("req-2"), 0)->record.tasks.at(0).state;
+  };
+  ASSERT_EQ(state(), TaskState::bound);
+  ASSERT_NE(hello(1, warrant(), part("running")).body.find("req-2/0"), std::string::npos);
+  ASSERT_FALSE(sent("req-2/0"));
+  job.cancelled = time_.wall();
+  store_.put(keys::job(job.spec.uid), encode(job));
+  run(Span{50});
+  answer_orders(200, 1, part("running"));  // overtakes the answer that bears the start
+  run(Span{600});
+  EXPECT_EQ(state(), TaskState::bound) << "the start may still be executed";
+  hello(1, warrant(), part("running"));  // it had the answer, or has dropped it
+  run(Span{600});
+  EXPECT_EQ(state(), TaskState::idle);
+}
+
+TEST_F(WorkerMeeting, AStartThatWasAnsweredCanComeAgain) {
+  bind_and_start();
+  answer_orders(200, 1, part("running"));
+  hello(1, warrant(), part("ended", "error"));
+  run(Span{50});
+  ASSERT_EQ(task().state, TaskState::idle);
+  EXPECT_EQ(hello(1, warrant(), part("ended", "error")).body.find("clear"), std::string::npos);
+  run(Span{9'000});
+  EXPECT_NE(hello(1, warrant(), part("ended", "error")).body.find("clear"), std::string::npos)
+      << "a higher warrant has ended that";
+}
+
 TEST_F(WorkerMeeting, AStartThatCameTooLateIsKilledOnAMuteMachineToo) {
   bind_and_start();
   hello(1, warrant(), "", "vm-2");
