Tests: the block of an earlier life, and a deaf machine whose block moves

Both are kept by what was there. Taken out to see the tests fail: the nonce in Holder::holding (the earlier life's block); the warrant in WorkerView::start_settled and the newer session in examine() (the deaf machine).

--- a/tests/worker_meetings_test.cpp
+++ b/tests/worker_meetings_test.cpp
@@ -243,5 +243,49 @@
   EXPECT_TRUE(told(before, R"("verb":"kill","part":"req-9/0")"));
 }
 
+// Two lives of one node.
+
+TEST_F(WorkerMeeting, TheBlockOfAnEarlierLifeIsTakenAnewAndItsLateCommitsFail) {
+  store_.scripts.assign(50, Script::refuse);
+  give_block("me", 6);
+  const auto earlier = warrant();
+  EXPECT_NE(hello(1, 0).status, 200) << "the earlier life may have commits on their way";
+  store_.scripts.clear();
+  run(Span{1'000});
+  ASSERT_GT(warrant(), earlier);
+  EXPECT_EQ(hello(1, earlier).status, 200);
+  Txn binding;
+  binding.guard(keys::block(ZoneId("a")), Stamp(earlier)).put("mv/slices/req-1/0", "{}");
+  Fate fate = Fate::done;
+  store_.commit(Rank::binding, binding, [&](const CommitResult& r) { fate = r.fate; });
+  EXPECT_EQ(fate, Fate::conflict);
+}
+
+// A deaf machine while its block moves.
+
+TEST_F(WorkerMeeting, ADeafMachineWhoseBlockMovesGetsNothingNewAndKeepsItsTasksUntilProof) {
+  bind_and_start();
+  hello(1, warrant(), part("running"));
+  run(Span{100});
+  const auto old = warrant();
+  give_block("other", 9);
+  give_block("me", 7);
+  const auto reports = [&](Span span) {
+    for (std::int64_t at = 0; at < span.ms; at += 3000) {
+      hello(1, old);  // the task has ended and its end is lost, or this is an old report
+      hello(1, warrant(), "", "vm-2");
+      run(Span{3000});
+    }
+  };
+  reports(Span{12'000});
+  EXPECT_EQ(machine_state(), MachineState::silent) << "its answers vanish, its lease will lapse";
+  cancel();
+  reports(Span{6'000});
+  EXPECT_EQ(task().state, TaskState::bound) << "what the last holder sent may still arrive";
+  hello(2, old);
+  run(Span{100});
+  EXPECT_EQ(task().state, TaskState::idle) << "a new session is proof, whatever it has heard";
+}
+
 }  // namespace
 }  // namespace marblevale
