One done, all done frees a gang's places only for an attempt that ran

Cause: when the end of a gang was not heard of (a cut, a lapse) and it was started again, each task tells the kept result as soon as its machine has the image. The first of them made all done, and so freed the places of those that were still fetching: they were on their machines for a moment after that, uncounted against the team's limit, and their machines refused others as full.

A gang completes together only where it ran: when a task of the slice is recorded as running, the first done still makes all done at once. Otherwise those that are bound keep their places until their own proof; lost after another's done, they are done as well.

Each guard was taken out to see its test fail: the record of having run, both ways (AKeptResult..., AGangThatRan...), and the done of what was lost (AGangWhoseRestIsLost...).

--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -756,12 +756,21 @@
   if (job.spec.gang()) {
     const auto is_done = [](const TaskRecord& t) { return t.state == TaskState::done; };
     if (std::any_of(slice.tasks.begin(), slice.tasks.end(), is_done)) {
-      // A gang completes together: one done, all done.
+      // A gang completes together: one done, all done, and all have left their machines. That is so
+      // for an attempt that ran. Of one that was started again after its end, each task tells the
+      // kept result as soon as its machine has the image, while others may still fetch theirs:
+      // those keep their places until proof.
+      const bool ran = std::any_of(stored->record.tasks.begin(), stored->record.tasks.end(),
+                                   [](const TaskRecord& t) { return t.running.ms != 0; });
+      patience = Span{0};
       for (TaskRecord& task : slice.tasks) {
         if (is_done(task)) continue;
+        if (task.state == TaskState::bound && !ran) {
+          patience = kGather;  // the others' reports are likely on their way
+          continue;
+        }
         apply_end(task, job.spec, "done", false, clock_.wall());
         changed = true;
-        patience = Span{0};
       }
     } else if (stop_broken_gang(slice)) {
       changed = true;
--- a/tests/worker_meetings_test.cpp
+++ b/tests/worker_meetings_test.cpp
@@ -287,5 +287,41 @@
   EXPECT_EQ(task().state, TaskState::idle) << "a new session is proof, whatever it has heard";
 }
 
+// One done, all done.
+
+TEST_F(WorkerMeeting, AKeptResultOfAGangFreesNoPlaceOfThoseThatStillFetch) {
+  hello(1, warrant(), "", "vm-1");
+  hello(1, warrant(), "", "vm-2");
+  put_bound_gang(2, Wall{});  // started again after its end, which nobody heard of
+  hello(1, warrant(), item("req-1/0", "ended", "done"), "vm-1");
+  hello(1, warrant(), item("req-1/1", "fetching"), "vm-2");
+  run(Span{3'000});
+  EXPECT_EQ(state_of(0), TaskState::done);
+  EXPECT_EQ(state_of(1), TaskState::bound) << "it will be on its machine for a moment yet";
+  hello(1, warrant(), item("req-1/1", "ended", "done"), "vm-2");
+  run(Span{500});
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+}
+
+TEST_F(WorkerMeeting, AGangWhoseRestIsLostAfterItsEndIsDone) {
+  hello(1, warrant(), "", "vm-1");
+  hello(1, warrant(), "", "vm-2");
+  put_bound_gang(2, Wall{});
+  hello(1, warrant(), item("req-1/0", "ended", "done"), "vm-1");
+  run(Span{3'000});
+  hello(2, warrant(), "", "vm-2");
+  run(Span{500});
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+}
+
+TEST_F(WorkerMeeting, AGangThatRanIsDoneWithTheFirstOfItsTasks) {
+  hello(1, warrant(), "", "vm-1");
+  hello(1, warrant(), "", "vm-2");
+  put_bound_gang(2, time_.wall());
+  hello(1, warrant(), item("req-1/0", "ended", "done"), "vm-1");
+  run(Span{100});
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+}
+
 }  // namespace
 }  // namespace marblevale
