--- a/src/blocks/hearing.cpp
+++ b/src/blocks/hearing.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr Span kIntroduceEvery{2'000};
+constexpr Span kInspectEvery{5'000};
 constexpr double kUnheardReports = 2.5;  // reports after which a start must show
 constexpr int kUnheardAnswers = 2;       // that bore it
 }  // namespace
@@ -24,9 +25,16 @@
   if (in_answer) ++unseen.answers;
 }
 
+void Hearing::answered(Steady now, Span lease) {
+  if (now - answered_ >= lease * 0.5) answered_since_ = now;
+  answered_ = now;
+}
+
 bool Hearing::session_changed(Steady now, Span lease) {
   unseen_.clear();
-  return now - answered_ < lease;
+  // One report that was held up while the lease lapsed for other reasons, and is answered now, does
+  // not show that the machine had the answer.
+  return now - answered_ < lease && now - answered_since_ >= lease * 0.5;
 }
 
 bool Hearing::misses_starts(const WorkerView& view, Steady now, Span report) const {
@@ -47,6 +55,7 @@
 }
 
 bool Hearing::introduction_due(Steady now) const {
+  if (inspect_ && now - last_inspection_ >= kInspectEvery) return true;
   return !introduced() && now - last_introduction_ >= kIntroduceEvery;
 }
 
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -154,7 +154,7 @@
         if (machine.record.zone != zone || machine.record.state >= MachineState::deleting) continue;
         Worker& worker = workers_[host];
         worker.zone = zone;
-        worker.heard = clock_.steady();
+        may_report(host, worker, clock_.steady());
         worker.view.address = machine.record.address;
         wake_.insert(host);
       }
@@ -293,8 +293,8 @@
   // Not sent on to anybody who would answer.
   if (refused) return {503, R"({"error":"its lease must lapse"})"};
   if (!newer) return {200, write_answer(warrant, {})};
-  worker.hearing.answered(now);
   if (report->warrant >= first_warrant_[report->district]) {
+    worker.hearing.answered(now, settings_.workers.lease);
     worker.heard = now;
     worker.hearing.heard(warrant);
     note_machine(*report, worker);
@@ -312,9 +312,9 @@
   return {200, write_answer(warrant, orders)};
 }
 
-bool Holder::absorb(Worker& worker, const Report& report) {
+bool Holder::absorb(Worker& worker, const Report& report, WorkerView::Source source) {
   const Tenure before = worker.view.tenure;
-  if (!worker.view.take(report)) return false;
+  if (!worker.view.take(report, source)) return false;
   if (report.tenure > before &&
       worker.hearing.session_changed(clock_.steady(), settings_.workers.lease) &&
       before != Tenure{}) {
@@ -354,6 +354,23 @@
   worker.hearing.mark_deaf();
 }
 
+void Holder::may_report(const HostId& host, Worker& worker, Steady now) const {
+  // One that an earlier holder found silent has to report first.
+  const auto machine = mirror_.records().machines.find(host);
+  if (machine != mirror_.records().machines.end() &&
+      machine->second.record.state == MachineState::silent) {
+    return;
+  }
+  worker.heard = now;
+}
+
+void Holder::look_for_mute(const HostId& host, Worker& worker) {
+  // It may reach no controller and hear orders all the same. What becomes of its tasks, and that
+  // its lease has lapsed, is then told by its answers only.
+  worker.hearing.inspect(silent(host) && mirror_.records().placed.contains(host));
+  if (worker.hearing.introduction_due(clock_.steady())) wake_.insert(host);
+}
+
 void Holder::look_for_deaf(const HostId& host, Worker& worker) {
   const Steady now = clock_.steady();
   const Span report = settings_.workers.report;
@@ -392,7 +409,7 @@
   const MachineRecord& record = it->second.record;
   if (worker.recall && (record.state == MachineState::up || record.state == MachineState::silent)) {
     put_machine(report.host, MachineState::draining, "the cloud takes it back");
-  } else if (record.state == MachineState::silent && !worker.hearing.deaf()) {
+  } else if (record.state == MachineState::silent && !silent(report.host)) {
     put_machine(report.host, MachineState::up, "reports again");
   }
 }
@@ -515,8 +532,9 @@
   const auto worker = workers_.find(host);
   if (machine == records.machines.end() || worker == workers_.end()) return false;
   if (machine->second.record.state != MachineState::up || worker->second.recall) return false;
-  // Nothing is bound to a machine that has not shown, under this warrant, that it hears us.
-  if (worker->second.view.tenure == Tenure{} || worker->second.hearing.deaf() ||
+  // Nothing is bound to a machine that has not shown, under this warrant, that it hears us, nor to
+  // one that does not report: its lease lapses.
+  if (worker->second.view.tenure == Tenure{} || silent(host) ||
       !worker->second.hearing.introduced()) {
     return false;
   }
@@ -792,12 +810,21 @@
   if (job.spec.gang()) {
     const auto is_done = [](const TaskRecord& t) { return t.state == TaskState::done; };
     if (std::any_of(slice.tasks.begin(), slice.tasks.end(), is_done)) {
-      // A gang completes together: one done, all done.
+      // A gang completes together: one done, all done, and all have left their machines. That is so
+      // for an attempt that ran. Of one that was started again after its end, each task tells the
+      // kept result as soon as its machine has the image, while others may still fetch theirs:
+      // those keep their places until proof.
+      const bool ran = std::any_of(stored->record.tasks.begin(), stored->record.tasks.end(),
+                                   [](const TaskRecord& t) { return t.running.ms != 0; });
+      patience = Span{0};
       for (TaskRecord& task : slice.tasks) {
         if (is_done(task)) continue;
+        if (task.state == TaskState::bound && !ran) {
+          patience = kGather;  // the others' reports are likely on their way
+          continue;
+        }
         apply_end(task, job.spec, "done", false, clock_.wall());
         changed = true;
-        patience = Span{0};
       }
     } else if (stop_broken_gang(slice)) {
       changed = true;
@@ -887,7 +914,7 @@
       auto& last = worker.kills[key];
       if (now - last < kKillEvery) continue;
       last = now;
-      if (in_answer) out.push_back({Verb::kill, id, attempt, {}});
+      out.push_back({Verb::kill, id, attempt, {}});
     } else if (in_answer) {
       // After a clear the worker would start a late or repeated start order once more.
       if (view.start_settled(id, attempt, current)) {
@@ -937,8 +964,7 @@
                      // The answer of 409 tells the session; then the order can be given.
                      if (it->second.view.tenure == Tenure{}) wake_.insert(host);
                      it->second.hearing.introduce_again();
-                     it->second.heard = clock_.steady();
-                     absorb(it->second, *report);
+                     absorb(it->second, *report, WorkerView::Source::order);
                      note_machine(*report, it->second);
                    }
                  }
@@ -960,7 +986,9 @@
   // silent.
   std::set<ZoneId> still_dark = dark();
   for (auto& [host, worker] : workers_) {
-    if (dark_.contains(worker.zone) && !still_dark.contains(worker.zone)) worker.heard = now;
+    if (dark_.contains(worker.zone) && !still_dark.contains(worker.zone)) {
+      may_report(host, worker, now);
+    }
   }
   dark_ = std::move(still_dark);
   if (now - mirror_.fresh_until() >= silence_limit()) {
@@ -1025,6 +1053,7 @@
   });
   for (auto& [host, worker] : workers_) {
     if (!worker.hearing.introduced()) wake_.insert(host);
+    look_for_mute(host, worker);
     look_for_deaf(host, worker);
   }
   keep_images();
