--- a/tests/scripted_store.hpp
+++ b/tests/scripted_store.hpp
@@ -114,9 +114,7 @@
 
   void watch(const std::string& prefix, Revision after, Span,
              std::function<void(WatchResult)> then) override {
-    watch_prefix_ = prefix;
-    watch_after_ = after;
-    watcher_ = std::move(then);
+    watches_.push_back({prefix, after, std::move(then)});
   }
 
   void create_permit(Span, std::function<void(PermitResult)> then) override {
@@ -132,21 +130,22 @@
   [[nodiscard]] const StoreLimits& limits() const override { return limits_; }
   [[nodiscard]] double write_slack() override { return slack; }
 
-  /// Tells the open watch what has changed since it was opened.
+  /// Tells each open watch what has changed since it was opened.
   void tell_watch() {
-    if (!watcher_) return;
-    WatchResult result;
-    result.kind = WatchResult::Kind::changes;
-    for (const Change& change : log_) {
-      if (change.stamp.get() > watch_after_.get() &&
-          change.key.compare(0, watch_prefix_.size(), watch_prefix_) == 0) {
-        result.log.push_back(change);
+    std::vector<Watch> open;
+    open.swap(watches_);
+    for (const Watch& watch : open) {
+      WatchResult result;
+      result.kind = WatchResult::Kind::changes;
+      for (const Change& change : log_) {
+        if (change.stamp.get() > watch.after.get() &&
+            change.key.compare(0, watch.prefix.size(), watch.prefix) == 0) {
+          result.log.push_back(change);
+        }
       }
+      result.revision = Revision(revision_);
+      watch.then(result);
     }
-    result.revision = Revision(revision_);
-    const auto then = std::move(watcher_);
-    watcher_ = nullptr;
-    then(result);
   }
 
   /// Lets one late transaction arrive.
@@ -176,6 +175,17 @@
 
   void end_permit(Permit permit) { ended_.insert(permit); }
 
+  /// The lease on which the key hangs ends, and all its keys go.
+  void lapse(const std::string& key) {
+    const Permit permit = data_.at(key).permit;
+    end_permit(permit);
+    Txn txn;
+    for (const auto& [path, kept] : data_) {
+      if (kept.permit == permit) txn.remove(path);
+    }
+    apply(txn);
+  }
+
   [[nodiscard]] std::optional<Entry> get(const std::string& key) const {
     const auto it = data_.find(key);
     if (it == data_.end()) return std::nullopt;
@@ -207,6 +217,12 @@
   struct Kept {
     std::string value;
     Stamp stamp;
+    Permit permit;
+  };
+  struct Watch {
+    std::string prefix;
+    Revision after;
+    std::function<void(WatchResult)> then;
   };
 
   void deliver(std::function<void()> answer) {
@@ -236,7 +252,7 @@
     }
     const Stamp stamp(++revision_);
     for (const Put& put : txn.puts) {
-      data_[put.key] = {put.value, stamp};
+      data_[put.key] = {put.value, stamp, put.permit};
       log_.push_back({put.key, put.value, stamp});
     }
     for (const auto& key : txn.deletes) {
@@ -252,9 +268,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t permits_ = 0;
   std::set<Permit> ended_;
-  std::string watch_prefix_;
-  Revision watch_after_;
-  std::function<void(WatchResult)> watcher_;
+  std::vector<Watch> watches_;
   StoreLimits limits_{1e6, 1e6, 8192, 16, 3};  // no pace: tests move time themselves
 };
 
