An outage does not keep a cancelled task on its machine

Cause: `deleting` is committed before the cloud is asked, so that with the state service out for longer than `cancel_s` nothing was deleted. Whoever led when it last answered now asks all the same for machines that hold a task of a job cancelled more than half of `cancel_s` ago. `in_charge()` stays true in an outage, since a refused renewal is not the end of a session, and a newer leader's record ends it. The answer is no proof; the ordinary way records the deletion afterwards.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -50,6 +50,7 @@
   void return_idle();
   void judge_suspect(const MachineRecord& machine);
   void pursue_deletions();
+  void delete_unrecorded();
   void rent();
   void ask(const HireRecord& hire, Stamp stamp);
   void forget_old();
@@ -68,6 +69,8 @@
   bool listing_ = false;
   int list_pages_ = 1;  // of the last whole list
   bool deleting_ = false;
+  bool deleting_unrecorded_ = false;
+  std::set<HostId> deleted_unrecorded_;  // while the state service does not answer
   Steady types_at_{-1'000'000};
   Steady list_at_{-1'000'000};
   Steady charge_since_{};
