Leaders that change again and again: what a term began ends with it

Found by reading, each shown by a test: - A controller that does not lead guarded by stamp 0 of the leader's key, which passes while nobody leads: an answer to a hire was committed so. It has no term now, and such a commit fails. - A change of a machine that failed on its way came back under the next term, though its reasons were those of the last: an idle machine was deleted though it might have had work by then. - The fleet noticed a change of term only when a tick fell between: it goes by the term. - Blocks moved with each leader where a zone has two controllers: a leader gives its own away when its term has lasted for 20 s. What was seen of the controllers' lives in an earlier term is dropped. Kept by guards that were there: releases on their way when the term ends, carried out or not, or in an outage, are made once; hires of an earlier leader are asked for under their own names.

--- a/src/blocks/grants.cpp
+++ b/src/blocks/grants.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 constexpr Span kTick{500};
-constexpr Span kHomeAfter{6'000};       // a controller must have been back for this long
+constexpr Span kHomeAfter{6'000};  // a controller must have been back for this long
+// A leader hands its own block to another of its zone when its term lasts: where leaders change
+// again and again, blocks would move with each.
+constexpr Span kLeaderKeeps{20'000};
 constexpr Span kAwayAfterMove{45'000};  // against flapping, after a move for cause
 constexpr Span kComplaintLife{3'000};
 }  // namespace
@@ -70,7 +73,11 @@
   const bool home_welcome =
       home_node && (moved == moved_.end() || now - moved->second > kAwayAfterMove);
   if (home_welcome && (!holder_lives || held->holder == *home_node)) return home_node;
-  if (home_welcome && now - alive_since_[*home_node].second > kHomeAfter) return home_node;
+  const bool because_we_lead = holder_lives && held->holder == settings_.node &&
+                               zone == settings_.zone && now - charge_since_ < kLeaderKeeps;
+  if (home_welcome && !because_we_lead && now - alive_since_[*home_node].second > kHomeAfter) {
+    return home_node;
+  }
   if (holder_lives) return held->holder;
 
   // Otherwise the living controller with the fewest blocks.
@@ -92,6 +99,11 @@
 void BlockGrants::tick() {
   timer_.start(kTick);
   if (!election_.in_charge()) return;
+  if (term_ != election_.term()) {
+    term_ = election_.term();
+    charge_since_ = clock_.steady();
+    alive_since_.clear();  // nobody looked between two terms
+  }
   const auto& records = mirror_.records();
   // One that was cut off and is back has to stay for a while, too, though its life is the same.
   std::erase_if(alive_since_,
--- a/src/blocks/grants.hpp
+++ b/src/blocks/grants.hpp
@@ -28,6 +28,8 @@
   const Settings& settings_;
   Mirror& mirror_;
   Election& election_;
+  Stamp term_;  // that the following is of
+  Steady charge_since_{};
   std::map<NodeId, std::pair<Nonce, Steady>> alive_since_;
   std::map<ZoneId, std::pair<NodeId, Steady>> complaints_;
   std::map<ZoneId, Steady> moved_;  // forced moves: not home again for a while
--- a/src/election/election.hpp
+++ b/src/election/election.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <random>
 
 #include "app/settings.hpp"
@@ -24,8 +25,12 @@
   [[nodiscard]] Nonce nonce() const { return nonce_; }
   [[nodiscard]] Permit block_permit() const { return block_permit_; }
 
-  /// Puts the leader's guard on a transaction.
-  void guard(Txn& txn) const { txn.guard(keys::kLeader, term_); }
+  /// Puts the leader's guard on a transaction. One that does not lead has no term, and the stamp of
+  /// none would pass while nobody leads: its transaction must fail.
+  void guard(Txn& txn) const {
+    txn.guard(keys::kLeader,
+              term_ == Stamp{} ? Stamp(std::numeric_limits<std::uint64_t>::max()) : term_);
+  }
 
  private:
   void transition(State next, const char* why);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -95,11 +95,12 @@
 void Fleet::tick() {
   tick_timer_.start(kTick);
   if (!election_.in_charge()) {
-    in_charge_ = false;
+    term_ = Stamp{};
     return;
   }
-  if (!in_charge_) {
-    in_charge_ = true;
+  // By the term: another may have led between two ticks.
+  if (term_ != election_.term()) {
+    term_ = election_.term();
     charge_since_ = clock_.steady();
     idle_since_.clear();
     listed_.clear();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -74,7 +74,7 @@
   Steady types_at_{-1'000'000};
   Steady list_at_{-1'000'000};
   Steady charge_since_{};
-  bool in_charge_ = false;
+  Stamp term_;                       // of the last tick; none: not in charge then
   std::map<HostId, Listed> listed_;  // until it is sure that they are listed no longer
   Steady last_list_{};               // when the last full list was asked for
   std::set<HostId> last_seen_;       // what it held
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -118,6 +118,7 @@
   offered_.clear();
   ending_.clear();
   made_room_.clear();
+  stray_since_.clear();
   sweeping_ = false;
   cursor_ = 0;
   occupancy_.reset();
--- a/src/store/machine_writer.cpp
+++ b/src/store/machine_writer.cpp
@@ -17,6 +17,11 @@
   std::erase_if(edits_, [&](const auto& entry) { return entry.second.zone == zone; });
 }
 
+void MachineWriter::forget_all() {
+  for (auto& [zone, epoch] : epochs_) ++epoch;
+  edits_.clear();
+}
+
 void MachineWriter::flush() {
   std::map<std::string, std::vector<HostId>> pages;
   for (const auto& [host, change] : edits_) {
--- a/src/store/machine_writer.hpp
+++ b/src/store/machine_writer.hpp
@@ -28,7 +28,8 @@
   [[nodiscard]] bool waits(const HostId& host) const { return edits_.contains(host); }
   /// Commits what waits, page by page, as far as no commit of the same page is on its way.
   void flush();
-  void forget_all() { edits_.clear(); }
+  /// All that waits, of every zone, as below.
+  void forget_all();
   /// What waits for the zone's machines: its reasons were those of a holding that is over.
   /// A commit of them that is on its way is not tried again.
   void forget(const ZoneId& zone);
--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -94,5 +94,114 @@
   EXPECT_EQ(mirror_.records().machines.at(HostId("vm-2")).record.state, MachineState::up);
 }
 
+TEST_F(LeaderChangeTest, AnAnswerToAHireThatComesWhileNobodyLeadsIsNotCommitted) {
+  settings_.peers = {{NodeId("n1"), ZoneId("b"), {}}, {NodeId("n2"), ZoneId("b"), {}}};
+  cloud_.rents = cloud_.hold_hires = true;
+  begin();
+  run(Span{1'000});
+  ASSERT_TRUE(election_.in_charge());
+  submit(testing::gang("req-1", 1, 1, 60));
+  run(Span{3'000});
+  ASSERT_EQ(cloud_.hires.size(), 1U);
+  const std::string key = keys::hire(cloud_.hires[0]);
+  const auto asked = store_.get(key);
+  ASSERT_TRUE(asked);
+  Txn txn;
+  txn.remove(keys::kLeader);
+  store_.commit(Rank::lease, txn, [](const CommitResult&) {});
+  run(Span{100});
+  ASSERT_FALSE(election_.in_charge()) << "the others may stand first";
+  cloud_.answer_hires();
+  EXPECT_EQ(store_.get(key)->stamp, asked->stamp);
+  cloud_.hold_hires = false;
+  run(Span{3'000});
+  ASSERT_TRUE(election_.in_charge());
+  EXPECT_TRUE(mirror_.records().hires.at(cloud_.hires[0]).record.answered);
+  EXPECT_EQ(std::set<std::string>(cloud_.hires.begin(), cloud_.hires.end()).size(), 1U);
+}
+
+TEST_F(LeaderChangeTest, AHireThatAnEarlierLeaderHasNotSettledIsAskedForUnderItsName) {
+  HireRecord hire;
+  hire.name = "h-5-1";
+  hire.build = "g8";
+  hire.zone = ZoneId("a");
+  hire.how_many = 2;
+  hire.asked = time_.wall();
+  store_.put(keys::hire(hire.name), encode(hire));
+  cloud_.rents = true;
+  begin();
+  run(Span{2'000});
+  EXPECT_EQ(cloud_.hires, std::vector<std::string>{"h-5-1"});
+  EXPECT_EQ(mirror_.records().hires.at("h-5-1").record.hosts.size(), 2U);
+}
+
+// Found by reading: what had been decided under one term was written under the next.
+TEST_F(LeaderChangeTest, ADeletionThatAnEarlierTermDecidedIsNotWrittenByALaterOne) {
+  machine("vm-1");
+  begin();
+  run(Span{1'100});
+  fleet_.condemn(HostId("vm-1"), "idle");
+  store_.hold = true;
+  store_.scripts.assign(50, Script::refuse);
+  run(Span{1'000});
+  ASSERT_FALSE(store_.held.empty()) << "the commit is on its way";
+  store_.hold = false;
+  store_.scripts.clear();
+  another_leads_for_a_moment();
+  run(Span{1'500});
+  store_.deliver_all();
+  run(Span{3'000});
+  EXPECT_EQ(mirror_.records().machines.at(HostId("vm-1")).record.state, MachineState::up);
+  EXPECT_TRUE(cloud_.removed.empty());
+}
+
+TEST_F(LeaderChangeTest, WorkGoesOnWhileLeadersChangeTenTimes) {
+  machine("vm-1");
+  begin();
+  std::vector<std::string> begun;
+  for (int i = 0; i < 10; ++i) {
+    const std::string uid = "req-" + std::to_string(i);
+    submit(testing::gang(uid, 1, 2, 60));  // as much as the team may take
+    // The term ends with the release on its way: carried out, or not, or with the service out.
+    store_.hold = true;
+    if (i % 3 == 1) store_.scripts.assign(20, Script::refuse);
+    if (i % 3 == 2) store_.scripts.assign(20, Script::lose_request);
+    run(Span{100});
+    store_.hold = false;
+    store_.scripts.clear();
+    if (i % 3 == 2) outage(Span{3'000});
+    another_leads_for_a_moment();
+    run(Span{100});
+    store_.deliver_all();
+    run(Span{1'500});
+    ASSERT_EQ(tasks(uid).size(), 1U) << uid;
+    EXPECT_EQ(tasks(uid)[0].state, TaskState::released) << uid;
+    EXPECT_EQ(tasks(uid)[0].attempt, Attempt(1)) << uid << " was released once";
+    begun.push_back(uid);
+    Txn over;  // it ends
+    over.remove(keys::slice(Uid(uid), 0)).remove(keys::job(Uid(uid)));
+    store_.commit(Rank::binding, over, [](const CommitResult&) {});
+    run(Span{200});
+  }
+  EXPECT_EQ(begun.size(), 10U);
+}
+
+TEST_F(LeaderChangeTest, BlocksDoNotMoveBecauseLeadersChange) {
+  settings_.peers = {{NodeId("n2"), ZoneId("a"), {}}};
+  store_.put(keys::node(NodeId("n2")), encode(NodeRecord{NodeId("n2"), Nonce(5), Permit(90)}));
+  store_.put(keys::block(ZoneId("a")), encode(BlockRecord{ZoneId("a"), NodeId("me"), Nonce(7), 1}));
+  BlockGrants blocks(loop_, time_, settings_, mirror_, election_);
+  begin();
+  blocks.begin();
+  for (int i = 0; i < 10; ++i) {
+    run(Span{12'000});
+    EXPECT_EQ(mirror_.records().blocks.at(ZoneId("a")).record.holder, NodeId("me"));
+    another_leads_for_a_moment();
+  }
+  run(Span{30'000});
+  EXPECT_EQ(mirror_.records().blocks.at(ZoneId("a")).record.holder, NodeId("n2"))
+      << "a leader that stays has work enough";
+}
+
 }  // namespace
 }  // namespace marblevale
