--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -30,6 +30,7 @@
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
 constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
+constexpr Span kUnlisted{5'000};          // more than clocks differ
 constexpr Span kStateSilence{2'500};      // without an answer: the state service is out
 constexpr double kUnrecordedAfter = 0.5;  // of `cancel_s`, later than deletion in the ordinary way
 
@@ -134,7 +135,8 @@
     if (known && encode(known->record) == value) return;
     Txn txn;
     election_.guard(txn);
-    txn.put(keys::kTypes, value);
+    // By its own stamp as well: a late one must not bring back earlier prices.
+    txn.guard(keys::kTypes, known ? known->stamp : Stamp{}).put(keys::kTypes, value);
     mirror_.commit(Rank::granting, std::move(txn), [](const CommitResult&) {});
   });
 }
@@ -412,6 +414,13 @@
         if (!placed) condemn(host, "drained");
         break;
       case MachineState::up: {
+        // Only its record is left, as a late commit may bring it back: its holder knows no such
+        // worker and can't call it silent. A list describes a moment at most twice the lag ago.
+        const Span known_for = wall - m.since - (now - last_list_) - settings_.list_lag * 2.0;
+        if (!listed && last_list_ > charge_since_ && known_for > kUnlisted) {
+          condemn(host, "up, but not listed");
+          break;
+        }
         const bool idle = !placed && !in_use_.contains(host);
         if (!idle) {
           idle_since_.erase(host);
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -302,12 +302,14 @@
     if (txn.deletes.size() >= settings_.store.txn_ops) break;
     if (records.jobs.contains(key.first)) continue;
     if (records.unreadable.contains(keys::job(key.first))) continue;
+    txn.guard(keys::job(key.first), Stamp{});  // it is over, and not only unknown here
     txn.guard(keys::slice(key.first, key.second), slice.stamp);
     txn.remove(keys::slice(key.first, key.second));
   }
   for (const auto& [uid, grant] : records.grants) {
     if (txn.deletes.size() >= settings_.store.txn_ops) break;
-    if (records.jobs.contains(uid)) continue;
+    if (records.jobs.contains(uid) || records.unreadable.contains(keys::job(uid))) continue;
+    txn.guard(keys::job(uid), Stamp{});
     txn.guard(keys::grant(uid), grant.stamp).remove(keys::grant(uid));
   }
   if (txn.deletes.empty()) return;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -347,7 +347,9 @@
 void Mirror::commit(Rank rank, Txn txn, std::function<void(const CommitResult&)> then) {
   auto copy = std::make_shared<Txn>(txn);
   store_.commit(rank, std::move(txn), [this, copy, then = std::move(then)](const CommitResult& r) {
-    if (r.fate == Fate::done) {
+    // What the watch has told already is not taken in again: a record that was deleted before the
+    // answer came would be back for good.
+    if (r.fate == Fate::done && r.revision > revision_) {
       const Stamp stamp(r.revision.get());
       for (const Put& put : copy->puts) apply({put.key, put.value, stamp});
       for (const auto& key : copy->deletes) {
--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -203,5 +203,66 @@
       << "a leader that stays has work enough";
 }
 
+// Found by reading: a slow answer to its own commit, told after the watch had told the deletion,
+// left the record in this copy for good. A job that was over waited there beside free machines.
+TEST_F(LeaderChangeTest, ALateAnswerDoesNotBringBackWhatWasDeletedSince) {
+  begin();
+  const JobSpec spec = testing::gang("req-1", 1, 1, 60);
+  store_.hold = true;
+  Txn txn;
+  txn.guard(keys::job(spec.uid), Stamp{});
+  txn.put(keys::job(spec.uid), encode(JobRecord{spec, time_.wall(), std::nullopt}));
+  mirror_.commit(Rank::submission, txn, [](const CommitResult&) {});
+  store_.hold = false;
+  Txn over;
+  over.remove(keys::job(spec.uid));
+  store_.commit(Rank::binding, over, [](const CommitResult&) {});
+  run(Span{50});
+  store_.deliver_all();
+  EXPECT_FALSE(mirror_.records().jobs.contains(spec.uid));
+}
+
+TEST_F(LeaderChangeTest, LateMachineTypesDoNotReplaceNewerOnes) {
+  begin();
+  std::vector<MachineType> types = mirror_.records().types->record;
+  types[0].price = 2;
+  cloud_.machine_types = types;
+  store_.scripts = {Script::arrive_late};
+  run(Span{1'500});
+  ASSERT_EQ(store_.late.size(), 1U);
+  types[0].price = 3;
+  cloud_.machine_types = types;
+  run(Span{62'000});
+  ASSERT_EQ(mirror_.records().types->record[0].price, 3);
+  EXPECT_EQ(store_.arrive().fate, Fate::conflict);
+}
+
+TEST_F(LeaderChangeTest, WhatBelongsToAJobThatOnlyThisCopyLacksIsNotSweptUp) {
+  begin();
+  run(Span{1'000});
+  // As while the records are read anew, page by page.
+  submit(testing::gang("req-1", 1, 1, 60));
+  set_task("req-1", bound("vm-1"));
+  const auto slice = store_.get(keys::slice(Uid("req-1"), 0));
+  mirror_.apply({slice->key, slice->value, slice->stamp});
+  time_.advance(Span{1'000});
+  EXPECT_TRUE(store_.get(slice->key));
+  run(Span{1'000});
+  EXPECT_EQ(tasks("req-1").at(0).state, TaskState::bound);
+}
+
+// A late commit can bring back the page of a machine that is long gone; nothing else would ever
+// take it out of the plan, and jobs would be released there again and again.
+TEST_F(LeaderChangeTest, AMachineOfWhichOnlyTheRecordIsLeftDoesNotStayInThePlan) {
+  settings_.list_lag = Span{4'000};
+  machine_in("a", "vm-1", time_.wall() - Span{600'000});
+  machine_in("a", "vm-2", time_.wall());  // not listed yet
+  cloud_.listing.emplace();
+  begin();
+  run(Span{10'000});
+  EXPECT_EQ(cloud_.removed, std::vector<HostId>{HostId("vm-1")});
+  EXPECT_EQ(mirror_.records().machines.at(HostId("vm-1")).record.state, MachineState::gone);
+}
+
 }  // namespace
 }  // namespace marblevale
