A cancelled job is over only when all before its cancellation is known; gangs of several slices

- Found by reading: the leader's own commit of a cancellation is in its copy before the watch tells of a binding committed earlier.
The job then went to `final/` with its task bound: no longer anybody's to stop until the slice was swept up, and outside its team's limit.
The job is ended when the watch has told everything up to the cancellation.
- A gang of several slices whose second lost its machines after the gang was done, but before that was seen, could neither end nor start again.
It is over when a task is done and none is placed.
- A job ended in a loop over the jobs it was removed from, where the state service answers at once, as scripted ones do: the jobs are collected first.
Kept by guards that were there: a cancelled task counts for the limit until proof, under a new leader as well; a late release fails by its term.

--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -33,8 +33,8 @@
 constexpr Span kOfferPatience{3'500};
 constexpr Span kPieceEvery{3'000};
 constexpr std::size_t kMostWanting = 30;
-constexpr Span kSoon{20'000};           // a start this near needs no new machine
-constexpr Span kOverdueBoot{5'500};     // a machine expected within this is late, or about to come
+constexpr Span kSoon{20'000};        // a start this near needs no new machine
+constexpr Span kOverdueBoot{5'500};  // a machine expected within this is late, or about to come
 constexpr Span kUnplacedWait{600'000};  // of a job that no machine can take
 
 /// Time to save, unless saving takes longer than the work that is lost on average by not saving.
@@ -234,19 +234,29 @@
   return out;
 }
 
-bool Granting::end_job(const Uid& uid, const Stored<JobRecord>& job) {
+void Granting::end_job(const Uid& uid) {
   const auto& records = mirror_.records();
+  const Stored<JobRecord>& job = records.jobs.at(uid);
   const std::uint32_t slices = slice_count(job.record.spec);
   std::uint32_t done = 0;
   bool placed = false;
+  bool any_done = false;
   for (auto it = records.slices.lower_bound({uid, 0});
        it != records.slices.end() && it->first.first == uid; ++it) {
     if (it->second.record.all_done()) ++done;
-    for (const TaskRecord& t : it->second.record.tasks) placed = placed || t.placed();
+    for (const TaskRecord& t : it->second.record.tasks) {
+      placed = placed || t.placed();
+      any_done = any_done || t.state == TaskState::done;
+    }
   }
-  const bool finished = done == slices;
-  const bool cancelled = job.record.cancelled && !placed;
-  if ((!finished && !cancelled) || !ending_.insert(uid).second) return false;
+  // A gang completes together, but its slices are seen to end one by one, and what is lost after
+  // the first was done is never started again: it is over once nothing of it is placed.
+  const bool finished = done == slices || (job.record.spec.gang() && any_done && !placed);
+  // What this controller committed itself, as the cancellation, is here before the watch has told
+  // what came before it: a binding, perhaps, of which this copy knows nothing yet.
+  const bool known = mirror_.revision().get() >= job.stamp.get();
+  const bool cancelled = job.record.cancelled && known && !placed;
+  if ((!finished && !cancelled) || !ending_.insert(uid).second) return;
   FinalRecord record;
   record.uid = uid;
   record.state = job.record.cancelled ? FinalState::cancelled : FinalState::done;
@@ -263,14 +273,14 @@
   txn.put(keys::final_job(uid), encode(record)).remove(keys::job(uid));
   mirror_.commit(Rank::granting, std::move(txn),
                  [this, uid](const CommitResult&) { ending_.erase(uid); });
-  return true;
 }
 
 void Granting::housekeep() {
   const auto& records = mirror_.records();
   std::set<HostId> strays;
+  std::vector<Uid> over;  // perhaps
   for (const auto& [uid, job] : records.jobs) {
-    if (job.record.cancelled || slice_count(job.record.spec) > 1) end_job(uid, job);
+    if (job.record.cancelled || slice_count(job.record.spec) > 1) over.push_back(uid);
     if (!job.record.cancelled) continue;
     // A cancelled task whose machine does not confirm its end: the machine is deleted in time.
     const Span since = clock_.wall() - *job.record.cancelled;
@@ -282,6 +292,7 @@
       }
     }
   }
+  for (const Uid& uid : over) end_job(uid);
   // A task on a machine that no record knows: nobody could prove it gone but the cloud.
   for (const auto& [host, placed] : records.placed) {
     if (!records.machines.contains(host)) strays.insert(host);
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -53,7 +53,8 @@
   void noticed(Topic topic, const std::string& key);
   void housekeep();
   [[nodiscard]] std::set<ZoneId> dark_zones() const;
-  bool end_job(const Uid& uid, const Stored<JobRecord>& job);
+  /// Moves the job to its final record if it is over.
+  void end_job(const Uid& uid);
   /// True when tasks are stopped that were not being stopped before.
   bool stop_tasks(const SliceKey& key, const std::function<bool(std::size_t, TaskRecord&)>& stop);
   void drain();
--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -264,5 +264,108 @@
   EXPECT_EQ(mirror_.records().machines.at(HostId("vm-1")).record.state, MachineState::gone);
 }
 
+TEST_F(LeaderChangeTest, AJobOfSeveralSlicesIsEndedByWhoeverLeadsThen) {
+  const auto slice = [&](const std::string& uid, std::uint32_t number, std::uint32_t size) {
+    SliceRecord out;
+    out.uid = Uid(uid);
+    out.number = number;
+    out.tasks.resize(size);
+    for (TaskRecord& task : out.tasks) {
+      task.state = TaskState::done;
+      task.attempt = Attempt(1);
+    }
+    return out;
+  };
+  submit(testing::batch("req-1", 66, 1, 60));
+  submit(testing::gang("req-2", 66, 1, 60));
+  SliceRecord last = slice("req-1", 1, 2);
+  last.tasks[1] = bound("vm-1");
+  // The machines of the gang's second slice were lost after it was done, before anybody saw that.
+  SliceRecord lost = slice("req-2", 1, 2);
+  lost.tasks[0].state = TaskState::idle;
+  lost.tasks[1] = bound("vm-1");
+  for (const SliceRecord& s : {slice("req-1", 0, 64), slice("req-2", 0, 64), last, lost}) {
+    store_.put(keys::slice(s.uid, s.number), encode(s));
+  }
+  begin();
+  run(Span{12'000});
+  EXPECT_TRUE(store_.get(keys::job(Uid("req-1"))));
+  EXPECT_TRUE(store_.get(keys::job(Uid("req-2")))) << "one of its tasks may still stand";
+  last.tasks[1].state = TaskState::done;
+  store_.put(keys::slice(last.uid, 1), encode(last));
+  lost.tasks[1].state = TaskState::idle;
+  store_.put(keys::slice(lost.uid, 1), encode(lost));
+  another_leads_for_a_moment();
+  run(Span{12'000});
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-2"))));
+}
+
+// Found by reading: the leader's own commit of a cancellation is in its copy at once, before the
+// watch tells of a binding that was committed earlier. The job was called over, and its task, no
+// longer anybody's to stop, went on outside its team's limit.
+TEST_F(LeaderChangeTest, ACancelledJobIsNotOverBeforeAllThatCameBeforeIsKnown) {
+  machine("vm-1");
+  begin();
+  run(Span{100});
+  const JobSpec spec = testing::gang("req-1", 1, 1, 60);
+  store_.scripts.assign(1, Script::refuse);
+  submit(spec);
+  run(Span{30});
+  const auto job = store_.get(keys::job(spec.uid));
+  ASSERT_TRUE(mirror_.records().jobs.contains(spec.uid));
+  set_task("req-1", bound("vm-1"));
+  Txn cancel;
+  cancel.guard(job->key, job->stamp);
+  cancel.put(job->key, encode(JobRecord{spec, time_.wall(), time_.wall()}));
+  mirror_.commit(Rank::binding, cancel,
+                 [](const CommitResult& r) { EXPECT_EQ(r.fate, Fate::done); });
+  time_.advance(Span{1'000});
+  EXPECT_TRUE(store_.get(job->key)) << "its task is bound, though the watch has not told it yet";
+  run(Span{1'000});
+  EXPECT_TRUE(store_.get(job->key));
+}
+
+// Team at its limit, a change of leader, a machine that can't be asked, and a cancellation.
+TEST_F(LeaderChangeTest, ACancelledTaskCountsAgainstTheLimitUntilProof) {
+  machine("vm-1");
+  machine("vm-2");
+  const JobSpec cancelled = testing::gang("req-1", 1, 2, 600);
+  store_.put(keys::job(cancelled.uid), encode(JobRecord{cancelled, time_.wall(), time_.wall()}));
+  set_task("req-1", bound("vm-1"));
+  begin();
+  submit(testing::gang("req-2", 1, 1, 60));
+  run(Span{5'000});
+  EXPECT_TRUE(tasks("req-2").empty());
+  EXPECT_TRUE(store_.get(keys::job(cancelled.uid))) << "nor is it over";
+  TaskRecord ended;
+  ended.attempt = Attempt(1);
+  set_task("req-1", ended);
+  run(Span{1'000});
+  ASSERT_EQ(tasks("req-2").size(), 1U);
+  EXPECT_EQ(tasks("req-2")[0].state, TaskState::released);
+}
+
+TEST_F(LeaderChangeTest, AReleaseOfAnEarlierTermFailsByTheTerm) {
+  machine("vm-1");
+  begin();
+  const JobSpec first = testing::gang("req-1", 1, 2, 60);
+  submit(first);
+  store_.scripts = {Script::arrive_late, Script::refuse, Script::refuse, Script::refuse};
+  run(Span{100});
+  ASSERT_EQ(store_.late.size(), 1U);
+  ASSERT_EQ(store_.late[0].puts.at(0).key, keys::slice(first.uid, 0));
+  store_.scripts.clear();
+  another_leads();
+  // Under the other the team's limit is used by another job.
+  submit(testing::gang("req-2", 1, 2, 60));
+  set_task("req-2", bound("vm-1"));
+  run(Span{20});
+  EXPECT_EQ(store_.arrive().fate, Fate::conflict);
+  it_leads_again();
+  run(Span{2'000});
+  EXPECT_TRUE(tasks("req-1").empty());
+}
+
 }  // namespace
 }  // namespace marblevale
