Tests: a new leader counts tasks on machines that can't be asked

Silent, out of reach, or in no record: each counts for the team's limit, `together` and `spread` until proof. Nothing had to be mended. Guards taken out, each run and seen to fail: `take_team` in `Occupancy::sync_slice`, the zone of `together` and the placed tasks of `spread` in `queue_item`.

--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -367,5 +367,66 @@
   EXPECT_TRUE(tasks("req-1").empty());
 }
 
+// Tasks that nobody can ask about, on machines that are silent, out of reach or in no record.
+TEST_F(LeaderChangeTest, TasksOnMachinesThatCannotBeAskedCountUnderANewLeader) {
+  two_zones();
+  limit(3);
+  machine("vm-1");
+  machine_in("b", "vm-2", time_.wall());
+  machine("vm-9");
+  MachineRecord silent;
+  silent.host = HostId("vm-3");
+  silent.build = "g8";
+  silent.zone = ZoneId("a");
+  silent.state = MachineState::silent;
+  silent.since = time_.wall();
+  store_.put_machine(silent);
+  store_.put(keys::block(ZoneId("b")), encode(BlockRecord{ZoneId("b"), NodeId("me"), Nonce(7), 1}));
+  int n = 1;
+  for (const std::string host : {"vm-2", "vm-3", "vm-lost"}) {
+    const std::string uid = "req-" + std::to_string(n++);
+    submit(testing::gang(uid, 1, 1, 600));
+    TaskRecord task = bound(host);
+    if (host == "vm-2") task.zone = ZoneId("b");
+    set_task(uid, task);
+  }
+  begin();
+  granting_.out_of_reach(NodeId("me"), {ZoneId("b")});
+  submit(testing::gang("req-9", 1, 1, 60));
+  run(Span{3'000});
+  EXPECT_TRUE(tasks("req-9").empty()) << "the team's three GPUs are taken";
+  for (const std::string uid : {"req-1", "req-2", "req-3"}) {
+    EXPECT_EQ(tasks(uid).at(0).state, TaskState::bound) << uid;
+  }
+}
+
+TEST_F(LeaderChangeTest, TogetherAndSpreadCountTasksOnMachinesThatNoRecordKnows) {
+  two_zones();
+  limit(100);
+  machine("vm-1");  // in zone a
+  JobSpec together = testing::batch("req-1", 2, 1, 60);
+  together.together = true;
+  JobSpec spread = testing::batch("req-2", 2, 1, 60);
+  spread.spread = true;
+  int n = 1;
+  for (const std::string zone : {"b", "a"}) {
+    SliceRecord slice;
+    slice.uid = Uid("req-" + std::to_string(n++));
+    slice.tasks = {bound("vm-lost-" + zone), TaskRecord{}};
+    slice.tasks[0].zone = ZoneId(zone);
+    store_.put(keys::slice(slice.uid, 0), encode(slice));
+  }
+  submit(together);
+  submit(spread);
+  begin();
+  run(Span{3'000});
+  EXPECT_EQ(tasks("req-1").at(1).state, TaskState::idle) << "its other task is in zone b";
+  EXPECT_EQ(tasks("req-2").at(1).state, TaskState::idle) << "zone a has its half";
+  machine_in("b", "vm-2", time_.wall());
+  run(Span{3'000});
+  EXPECT_EQ(tasks("req-1").at(1).zone, ZoneId("b"));
+  EXPECT_EQ(tasks("req-2").at(1).zone, ZoneId("b"));
+}
+
 }  // namespace
 }  // namespace marblevale
