--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -35,6 +35,12 @@
 constexpr std::size_t kMostWanting = 30;
 constexpr Span kSoon{20'000};        // a start this near needs no new machine
 constexpr Span kOverdueBoot{5'500};  // a machine expected within this is late, or about to come
+constexpr Span kStrandedEvery{10'000};
+constexpr Span kStrandedAfter{30'000};  // of waiting: no job may wait for 90 s beside free room
+constexpr Span kStrandedStays{15'000};  // from the first sweep that finds it to the word of it
+constexpr Span kStrandedToldEvery{60'000};
+constexpr Span kMachineOutOfUse{60'000};
+constexpr std::size_t kMostStranded = 32;
 constexpr Span kUnplacedWait{600'000};  // of a job that no machine can take
 
 /// Time to save, unless saving takes longer than the work that is lost on average by not saving.
@@ -119,6 +125,7 @@
   ending_.clear();
   made_room_.clear();
   stray_since_.clear();
+  stranded_.clear();
   sweeping_ = false;
   cursor_ = 0;
   occupancy_.reset();
@@ -211,6 +218,7 @@
   if (clock_.steady() - last_want_ >= std::max(kWantEvery, want_took_ * 30.0))
     want_machines(planner);
   grants_.flush(reservations_);
+  if (clock_.steady() - last_stranded_ >= kStrandedEvery) look_for_stranded(planner);
   occupancy_.profile() = planner.take_profile();
   // How often the budget ends before the queue does.
   if (!admitted || cursor_ != 0) meter_.count("rounds cut short");
@@ -674,6 +682,75 @@
       planner.profile().count() - up, free.gpus, whole.gpus, planner.queue().size(), waiting);
 }
 
+void Granting::look_for_stranded(const Planner& planner) {
+  last_stranded_ = clock_.steady();
+  const auto& records = mirror_.records();
+  // One of a single slice is ended by the commit that ends its last task; whatever kept that from
+  // happening, it must not stay for ever.
+  std::vector<Uid> jobs;
+  for (const auto& [uid, job] : records.jobs) jobs.push_back(uid);
+  for (const Uid& uid : jobs) end_job(uid);
+  const auto found = find_stranded(records, settings_, clock_.wall(), kStrandedAfter,
+                                   kMachineOutOfUse, kMostStranded);
+  std::set<Uid> still;
+  bool remake = false;
+  for (const Stranded& job : found) {
+    still.insert(job.uid);
+    const auto [it, fresh] = stranded_.try_emplace(job.uid, StrandedSince{last_stranded_, {}});
+    // Found once, it may be about to start.
+    if (last_stranded_ - it->second.first < kStrandedStays) continue;
+    if (last_stranded_ - it->second.told < kStrandedToldEvery) continue;
+    it->second.told = last_stranded_;
+    const Cause cause = why_stranded(job, planner);
+    spdlog::warn("granting: {} has waited for {} s, though {} has room for it: {}", job.uid.get(),
+                 job.waited.ms / 1000, job.host.get(), cause.what);
+    remake = remake || cause.profile_is_wrong;
+  }
+  std::erase_if(stranded_, [&](const auto& entry) { return !still.contains(entry.first); });
+  // The profile has gone wrong: it is made anew from the records. Guarantees stay.
+  if (!remake || last_stranded_ - last_remade_ < kStrandedToldEvery) return;
+  last_remade_ = last_stranded_;
+  meter_.count("profile made anew");
+  occupancy_.reset();
+  wake();
+}
+
+Granting::Cause Granting::why_stranded(const Stranded& job, const Planner& planner) const {
+  if (job.state != MachineState::up) return {std::string("it is ") + name_of(job.state)};
+  const auto& records = mirror_.records();
+  const auto machine = records.machines.find(job.host);
+  if (machine != records.machines.end() && dark_zones().contains(machine->second.record.zone)) {
+    return {"its zone is out of reach"};
+  }
+  const auto slice = pending_.lower_bound({job.uid, 0});
+  if (slice != pending_.end() && slice->first.first == job.uid) {
+    return {slice->second.offered ? "an offer has not been settled"
+                                  : "a release has not been settled"};
+  }
+  const auto& queue = planner.queue();
+  const auto item = std::find_if(queue.begin(), queue.end(),
+                                 [&](const QueueItem& i) { return i.uid == job.uid; });
+  if (item == queue.end()) return {"the job is not in the queue", true};
+  const Wall now = clock_.wall();
+  if (item->not_before > now) return {"it is tried again after a pause"};
+  for (const auto& [uid, r] : reservations_) {
+    if (uid == job.uid) continue;
+    for (const auto& place : r.places) {
+      if (place.host == job.host && place.start < now + item->demand.run * 2.0) {
+        return {"room there is reserved for " + uid.get()};
+      }
+    }
+  }
+  const auto lane = planner.profile().find(job.host);
+  if (!lane) return {"it is not in the profile", true};
+  if (!planner.profile().lane(*lane).takes(item->demand.job->need, now, now + Span{1})) {
+    return {"its room is taken in the profile", true};
+  }
+  const auto r = reservations_.find(job.uid);
+  if (r == reservations_.end()) return {"it has no reservation", true};
+  return {r->second.places.empty() ? "its reservation has no place" : "unknown", true};
+}
+
 void Granting::want_machines(const Planner& planner) {
   const auto timed = meter_.time(Duty::want);
   last_want_ = clock_.steady();
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -15,6 +15,7 @@
 #include "planner/grant_writer.hpp"
 #include "planner/occupancy.hpp"
 #include "planner/planner.hpp"
+#include "planner/stranded.hpp"
 #include "store/mirror.hpp"
 
 namespace marblevale {
@@ -73,6 +74,12 @@
                                 const Profile& profile, const std::set<HostId>& others);
   void summarize(const Planner& planner);
   void want_machines(const Planner& planner);
+  void look_for_stranded(const Planner& planner);
+  struct Cause {
+    std::string what;
+    bool profile_is_wrong = false;  // what is said is no reason by the records
+  };
+  [[nodiscard]] Cause why_stranded(const Stranded& job, const Planner& planner) const;
 
   Meter& meter_;
   const Clock& clock_;
@@ -108,6 +115,13 @@
   Span round_took_{};
   Steady last_want_{-1'000'000};
   Steady last_summary_{-1'000'000};
+  struct StrandedSince {
+    Steady first;
+    Steady told;
+  };
+  std::map<Uid, StrandedSince> stranded_;
+  Steady last_stranded_{};
+  Steady last_remade_{-1'000'000};
   Timer timer_;
 };
 
--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -264,6 +264,35 @@
   EXPECT_EQ(mirror_.records().machines.at(HostId("vm-1")).record.state, MachineState::gone);
 }
 
+TEST_F(LeaderChangeTest, AProfileThatDisagreesWithTheRecordsIsMadeAnew) {
+  machine("vm-1");
+  submit(testing::gang("req-1", 1, 2, 6'000));
+  TaskRecord task = bound("vm-1");
+  task.running = time_.wall();
+  set_task("req-1", task);
+  begin();
+  submit(testing::gang("req-2", 1, 2, 60));
+  run(Span{1'000});
+  limit(4);  // the records' view; the profile was made with the earlier limit
+  run(Span{20'000});
+  EXPECT_TRUE(tasks("req-2").empty());
+  run(Span{60'000});
+  ASSERT_EQ(tasks("req-2").size(), 1U);
+  EXPECT_EQ(tasks("req-2")[0].state, TaskState::released);
+}
+
+TEST_F(LeaderChangeTest, AJobWhoseTasksAreAllDoneIsEndedWhateverKeptItsHolderFromIt) {
+  submit(testing::gang("req-1", 1, 1, 60));
+  TaskRecord done;
+  done.state = TaskState::done;
+  done.attempt = Attempt(1);
+  set_task("req-1", done);
+  begin();
+  run(Span{25'000});
+  EXPECT_FALSE(store_.get(keys::job(Uid("req-1"))));
+  EXPECT_TRUE(store_.get(keys::final_job(Uid("req-1"))));
+}
+
 TEST_F(LeaderChangeTest, AJobOfSeveralSlicesIsEndedByWhoeverLeadsThen) {
   const auto slice = [&](const std::string& uid, std::uint32_t number, std::uint32_t size) {
     SliceRecord out;
