Tests: machines are hired in the zone to which a job is bound

By `district`, and by a task of a `together` array that has no proof yet. Nothing had to be mended. Guard taken out, run and seen to fail: the zone in `want_machines`.

--- a/tests/leader_change_test.cpp
+++ b/tests/leader_change_test.cpp
@@ -457,5 +457,31 @@
   EXPECT_EQ(tasks("req-2").at(1).zone, ZoneId("b"));
 }
 
+TEST_F(LeaderChangeTest, MachinesAreHiredInTheZoneToWhichAJobIsBound) {
+  two_zones();
+  limit(100);
+  machine("vm-1");
+  JobSpec district = testing::gang("req-1", 4, 4, 60);
+  district.district = ZoneId("b");
+  submit(district);
+  // An array whose other task still stands in zone b, as far as is known.
+  JobSpec together = testing::batch("req-2", 2, 8, 60);
+  together.together = true;
+  submit(together);
+  SliceRecord slice;
+  slice.uid = together.uid;
+  slice.tasks = {bound("vm-lost"), TaskRecord{}};
+  slice.tasks[0].zone = ZoneId("b");
+  store_.put(keys::slice(slice.uid, 0), encode(slice));
+  cloud_.rents = true;
+  begin();
+  run(Span{5'000});
+  ASSERT_FALSE(cloud_.hired_in.empty());
+  for (const ZoneId& zone : cloud_.hired_in) EXPECT_EQ(zone, ZoneId("b"));
+  std::size_t hosts = 0;
+  for (const auto& [name, rented] : cloud_.rented) hosts += rented.size();
+  EXPECT_GE(hosts, 3U) << "two for the gang, one for the array";
+}
+
 }  // namespace
 }  // namespace marblevale
