--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -50,6 +50,7 @@
   void return_idle();
   void judge_suspect(const MachineRecord& machine);
   void pursue_deletions();
+  void delete_unrecorded();
   void rent();
   void ask(const HireRecord& hire, Stamp stamp);
   void forget_old();
@@ -68,10 +69,12 @@
   bool listing_ = false;
   int list_pages_ = 1;  // of the last whole list
   bool deleting_ = false;
+  bool deleting_unrecorded_ = false;
+  std::set<HostId> deleted_unrecorded_;  // while the state service does not answer
   Steady types_at_{-1'000'000};
   Steady list_at_{-1'000'000};
   Steady charge_since_{};
-  bool in_charge_ = false;
+  Stamp term_;                       // of the last tick; none: not in charge then
   std::map<HostId, Listed> listed_;  // until it is sure that they are listed no longer
   Steady last_list_{};               // when the last full list was asked for
   std::set<HostId> last_seen_;       // what it held
