Without a record only machines are deleted whose holder does not know the task ended

What the lease can't reach is a machine that hangs. The holder knows the difference, so it asks the cloud itself.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -49,6 +49,7 @@
 
 void Service::begin() {
   granting_.release_through(offers_);
+  fleet_.delete_overdue([this] { return holder_.overdue(); });
   cancellations_.on_told([this] { pulses_.hurry(); });
   cancellations_.on_heard([this](const Uid& uid) { holder_.cancelled(uid); });
   mirror_.begin();
--- a/src/blocks/holder.cpp
+++ b/src/blocks/holder.cpp
@@ -13,7 +13,8 @@
 constexpr Span kKillEvery{1500};
 constexpr Span kRenewEvery{8'000};
 constexpr Span kCancelMargin{4'000};
-constexpr Span kBlind{2'500};  // without word of cancellations: nothing is started
+constexpr double kOverdue = 0.5;  // of `cancel_s`: later than deletion in the ordinary way
+constexpr Span kBlind{2'500};     // without word of cancellations: nothing is started
 constexpr Span kStrayWindow{20'000};
 constexpr Span kStrayTime{6'000};
 constexpr Span kStrayRecent{5'000};
@@ -199,16 +200,14 @@
   extended_fresh_ = std::max(extended_fresh_, until);
 }
 
-bool Holder::must_lapse(const HostId& host, const Worker& worker) const {
-  // It still has a cancelled task, or may still start one, so long after the cancellation that a
-  // lease renewed now would outlast `cancel_s`. Neither the state service nor the cloud is needed
-  // to end the task: its machine's lease is left to lapse, whatever else runs there.
+bool Holder::keeps_cancelled(const HostId& host, const Worker& worker, Span since) const {
+  // It still has a task, or may still start one, that was cancelled so long ago.
   const auto placed = mirror_.records().placed.find(host);
   if (placed == mirror_.records().placed.end()) return false;
   const Wall now = clock_.wall() + settings_.clock_error * 2.0;
   return std::any_of(placed->second.begin(), placed->second.end(), [&](const auto& entry) {
     const auto at = cancellations_.cancelled_at(entry.first.uid);
-    if (!at || now - *at < answer_limit()) return false;
+    if (!at || now - *at < since) return false;
     const TaskRecord* task = mirror_.records().task(entry.first);
     if (task == nullptr || task->state != TaskState::bound) return false;
     const Finding found = examine(entry.first, *task, worker.view, warrant_of(worker.zone));
@@ -216,6 +215,15 @@
   });
 }
 
+std::vector<HostId> Holder::overdue() const {
+  std::vector<HostId> out;
+  for (const auto& [host, worker] : workers_) {
+    if (holding(worker.zone) != Holding::held) continue;
+    if (keeps_cancelled(host, worker, settings_.workers.cancel * kOverdue)) out.push_back(host);
+  }
+  return out;
+}
+
 std::vector<ZoneId> Holder::complaints() {
   std::vector<ZoneId> out;
   const Steady now = clock_.steady();
@@ -284,7 +292,9 @@
   // that has seen a warrant of ours shows that it was sent since. (Warrants are renewed while a
   // block is held: the first of them counts.)
   const bool newer = absorb(worker, *report);
-  const bool refused = must_lapse(report->host, worker);
+  // A lease renewed now would outlast `cancel_s`. Neither the state service nor the cloud is needed
+  // to end the task: its machine's lease is left to lapse, whatever else runs there.
+  const bool refused = keeps_cancelled(report->host, worker, answer_limit());
   if (refused && !worker.refused) {
     spdlog::warn("holder: {} gets no answers: it still has a cancelled task", report->host.get());
     meter_.count("leases left to lapse");
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -49,6 +49,9 @@
   [[nodiscard]] std::set<ZoneId> dark() const;
   /// A peer was the first to tell that the job is cancelled.
   void cancelled(const Uid& uid);
+  /// Machines of which it is not known that their cancelled tasks have ended, though it is time to
+  /// have them deleted.
+  [[nodiscard]] std::vector<HostId> overdue() const;
   /// The latest moment up to which no cancellation can have been confirmed that we do not know of.
   void extend_freshness(Steady until);
 
@@ -115,7 +118,7 @@
   void flush_soon();
   [[nodiscard]] Steady fresh() const;
   [[nodiscard]] Span answer_limit() const;
-  [[nodiscard]] bool must_lapse(const HostId& host, const Worker& worker) const;
+  [[nodiscard]] bool keeps_cancelled(const HostId& host, const Worker& worker, Span since) const;
   [[nodiscard]] Span silence_limit() const;
 
   Meter& meter_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -30,9 +30,8 @@
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
 constexpr Span kProvenRun{4'000};         // a task that ran this long elsewhere is not at fault
 constexpr Span kSuspicion{45'000};
-constexpr Span kUnlisted{5'000};          // more than clocks differ
-constexpr Span kStateSilence{2'500};      // without an answer: the state service is out
-constexpr double kUnrecordedAfter = 0.5;  // of `cancel_s`, later than deletion in the ordinary way
+constexpr Span kUnlisted{5'000};      // more than clocks differ
+constexpr Span kStateSilence{2'500};  // without an answer: the state service is out
 
 }  // namespace
 
@@ -95,6 +94,7 @@
 
 void Fleet::tick() {
   tick_timer_.start(kTick);
+  delete_unrecorded();
   if (!election_.in_charge()) {
     term_ = Stamp{};
     return;
@@ -116,7 +116,6 @@
   pursue_hires();
   pursue_machines();
   pursue_deletions();
-  delete_unrecorded();
   rent();
   forget_old();
   machines_.flush();
@@ -484,38 +483,23 @@
 }
 
 void Fleet::delete_unrecorded() {
-  // While the state service does not answer, `deleting` can't be committed, and a cancelled task
-  // would be on its machine for longer than allowed. Whoever led when it last answered, and has
-  // seen no other leader since, asks for the deletion all the same: it can cost work, but breaks no
-  // rule. It is no proof. Once the state service is back the ordinary way records it: `deleting` is
-  // committed and asked for again (the cloud ignores names that it does not know), then `gone`.
+  // While the state service does not answer, `deleting` can't be committed, and a cancelled task on
+  // a machine that hangs would be there for longer than allowed. Its holder has the machine deleted
+  // all the same: that can cost work, but breaks no rule. It is no proof. Once the state service is
+  // back the leader records it in the ordinary way: `deleting` is committed and asked for again
+  // (the cloud ignores names that it does not know), then `gone`.
   if (clock_.steady() - mirror_.fresh_until() < kStateSilence) {
     deleted_unrecorded_.clear();
     return;
   }
-  if (deleting_unrecorded_) return;
-  const auto& records = mirror_.records();
-  const Wall now = clock_.wall();
+  if (deleting_unrecorded_ || !overdue_) return;
   std::vector<HostId> hosts;
-  for (const auto& [host, placed] : records.placed) {
-    const auto machine = records.machines.find(host);
-    const bool asked = deleted_unrecorded_.contains(host) ||
-                       (machine != records.machines.end() &&
-                        machine->second.record.state >= MachineState::deleting);
-    if (asked || hosts.size() >= kMostDeleted) continue;
-    const bool late = std::any_of(placed.begin(), placed.end(), [&](const auto& entry) {
-      const JobRecord* job = records.job(entry.first.uid);
-      const TaskRecord* task = records.task(entry.first);
-      return job != nullptr && job->cancelled && task != nullptr &&
-             task->state == TaskState::bound &&
-             now - *job->cancelled > settings_.workers.cancel * kUnrecordedAfter;
-    });
-    if (late) hosts.push_back(host);
-  }
-  if (hosts.empty()) return;
-  for (const HostId& host : hosts) {
+  for (const HostId& host : overdue_()) {
+    if (deleted_unrecorded_.contains(host) || hosts.size() >= kMostDeleted) continue;
     spdlog::info("fleet: {} is deleted without a record: holds a cancelled task", host.get());
+    hosts.push_back(host);
   }
+  if (hosts.empty()) return;
   deleting_unrecorded_ = true;
   cloud_.remove(hosts, [this, hosts](bool removed) {
     deleting_unrecorded_ = false;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -2,6 +2,7 @@
 // machines. Deleting a machine is also the proof that its tasks are gone.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -23,6 +24,10 @@
         Election& election, Cloud& cloud);
 
   void begin();
+  /// `overdue`: machines held here on which a cancelled task has been for too long.
+  void delete_overdue(std::function<std::vector<HostId>()> overdue) {
+    overdue_ = std::move(overdue);
+  }
   [[nodiscard]] std::vector<Booting> booting() const;
 
   /// What the last round of planning left waiting, and which machines it has a use for.
@@ -69,6 +74,7 @@
   bool listing_ = false;
   int list_pages_ = 1;  // of the last whole list
   bool deleting_ = false;
+  std::function<std::vector<HostId>()> overdue_;
   bool deleting_unrecorded_ = false;
   std::set<HostId> deleted_unrecorded_;  // while the state service does not answer
   Steady types_at_{-1'000'000};
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -249,6 +249,20 @@
   EXPECT_TRUE(second_.has_tasks());
 }
 
+// What hangs does not even notice that its lease has lapsed.
+TEST_F(GapTest, AMachineIsOverdueOnlyWhereItsCancelledTaskIsNotKnownToHaveEnded) {
+  both_run();
+  first_.hangs = true;
+  peer_ = peer_list();
+  pass(Span{20'000});
+  EXPECT_TRUE(holder_.overdue().empty()) << "it may still be ended in the ordinary way";
+  pass(Span{5'000});
+  EXPECT_EQ(holder_.overdue(), std::vector<HostId>{HostId("vm-1")});
+  first_.hangs = false;
+  hello(2, warrant());  // in a new session
+  EXPECT_TRUE(holder_.overdue().empty()) << "though it can't be recorded";
+}
+
 TEST_F(GapTest, SoItDoesWhenTheStateServiceIsThere) {
   first_.obeys = false;
   both_run();
