--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "admission/why.hpp"
 #include "planner/profile.hpp"
@@ -14,8 +16,14 @@
 constexpr std::size_t kMaxBody = 64 * 1024;
 constexpr std::size_t kMaxFinals = 2000;
 constexpr std::size_t kMaxReads = 300;
+constexpr std::size_t kMostUnanswered = 2000;
+constexpr Span kNearlyForgotten{45'000};
 constexpr int kTries = 3;
 constexpr int kComeBackSeconds = 2;
+// Users wait 2 s for the answer to a question and 5 s for the others: what isn't known by then is
+// said so, while they still listen.
+constexpr Span kQuestionTime{1'700};
+constexpr Span kRequestTime{4'500};
 
 UserAnswer error(int status, const std::string& what, int retry_after_s = 0) {
   json::Writer out;
@@ -39,11 +47,36 @@
   return record;
 }
 
+/// An answer that is given once.
+class OpenAnswer {
+ public:
+  OpenAnswer(Loop& loop, Span limit, Answer answer)
+      : answer_(std::move(answer)), timer_(loop, [this] { give(undecided()); }) {
+    timer_.start(limit);
+  }
+  void give(const UserAnswer& a) {
+    if (!answer_) return;
+    timer_.stop();
+    std::exchange(answer_, nullptr)(a);
+  }
+
+ private:
+  Answer answer_;
+  Timer timer_;
+};
+
+/// The answer, or a 503 when none has come within the limit; what comes later is dropped.
+Answer in_time(Loop& loop, Span limit, Answer answer) {
+  return [open = std::make_shared<OpenAnswer>(loop, limit, std::move(answer))](
+             const UserAnswer& a) { open->give(a); };
+}
+
 }  // namespace
 
-Admission::Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
-                     Cancellations& cancellations)
-    : clock_(clock),
+Admission::Admission(Loop& loop, const Clock& clock, const Settings& settings, Store& store,
+                     Mirror& mirror, Cancellations& cancellations)
+    : loop_(loop),
+      clock_(clock),
       settings_(settings),
       store_(store),
       mirror_(mirror),
@@ -75,8 +108,6 @@
 }
 
 UserAnswer Admission::state_of(const JobRecord& job) const {
-  // However the user comes to hear of it: from now on the cancellation counts.
-  if (job.cancelled) cancellations_.tell(job.spec.uid, *job.cancelled);
   // The counts are for display and may lag; the state itself was just read.
   std::uint64_t done = 0;
   std::uint64_t running = 0;
@@ -100,7 +131,35 @@
   return {200, out.str(), 0};
 }
 
-void Admission::look_up(const Uid& uid, std::function<void(const Found&)> then) {
+void Admission::note_cancellation(const Found& f) {
+  // Of a job that is over nothing is left: there is nothing to tell the other controllers.
+  if (f.job && f.job->record.cancelled) {
+    cancellations_.tell(f.job->record.spec.uid, *f.job->record.cancelled);
+  }
+}
+
+void Admission::note_silence(const Uid& uid, bool answered) {
+  if (answered) {
+    unanswered_.erase(uid);
+    return;
+  }
+  const Steady now = clock_.steady();
+  if (unanswered_.size() >= kMostUnanswered) unanswered_.clear();  // all of them: an outage
+  const auto since = unanswered_.try_emplace(uid, now).first;
+  if (now - since->second < kNearlyForgotten) return;
+  // A user who is told nothing for longer takes the job for forgotten.
+  spdlog::warn("admission: no request about {} could be answered for {} s", uid.get(),
+               (now - since->second).ms / 1000);
+  since->second = now;
+}
+
+void Admission::look_up(const Uid& uid, std::function<void(const Found&)> tell_on) {
+  // All that users are told of a job passes here, so a cancellation is noted before it is told.
+  const auto then = [this, uid, tell_on = std::move(tell_on)](const Found& f) {
+    note_cancellation(f);
+    note_silence(uid, f.ok);
+    tell_on(f);
+  };
   if (const FinalRecord* known = remembered(uid)) {
     then({true, std::nullopt, *known});
     return;
@@ -108,7 +167,7 @@
   if (mirror_.records().jobs.contains(uid)) {
     // An unfinished job: all such questions share the watch, whose next word is newer than they
     // are.
-    mirror_.when_fresh([this, uid, then = std::move(then)](bool fresh) {
+    mirror_.when_fresh([this, uid, then](bool fresh) {
       const auto& jobs = mirror_.records().jobs;
       const auto job = jobs.find(uid);
       if (!fresh) {
@@ -121,7 +180,7 @@
     });
     return;
   }
-  ask_store(uid, std::move(then));
+  ask_store(uid, then);
 }
 
 void Admission::ask_store(const Uid& uid, std::function<void(const Found&)> then) {
@@ -205,21 +264,28 @@
   const Room wanted =
       job.gang() || job.endless() ? job.need * static_cast<double>(job.parts) : job.need;
   if (!fits(wanted, team->limit())) return "needs more than the team's limit";
-  const auto& types = mirror_.records().types->record;
-  const bool fit = std::any_of(types.begin(), types.end(), [&](const MachineType& type) {
+  std::set<ZoneId> zones;  // in which a task fits
+  for (const MachineType& type : mirror_.records().types->record) {
     PlanMachine machine;
     machine.build = type.name;
     machine.room = type.room;
-    return std::any_of(type.zones.begin(), type.zones.end(), [&](const ZoneId& zone) {
+    for (const ZoneId& zone : type.zones) {
       machine.zone = zone;
-      return Profile::allowed(job, machine);
-    });
-  });
-  if (!fit) return "a task fits no allowed machine type";
+      if (Profile::allowed(job, machine)) zones.insert(zone);
+    }
+  }
+  if (zones.empty()) return "a task fits no allowed machine type";
+  // Tasks that run at the same time, at most half of them in one zone, need a second one. Those of
+  // an array may run one half after the other.
+  const bool several = job.parts > 1 && (job.gang() || job.endless());
+  if (several && job.spread && (job.together || zones.size() < 2)) {
+    return "tasks that must be spread can be in one zone only";
+  }
   return std::nullopt;
 }
 
-void Admission::submit(const std::string& body, Answer answer) {
+void Admission::submit(const std::string& body, Answer on_answer) {
+  const Answer answer = in_time(loop_, kRequestTime, std::move(on_answer));
   json::Document doc;
   if (body.size() > kMaxBody) {
     answer(error(400, "the body is over 64 KiB"));
@@ -234,28 +300,28 @@
     answer(error(400, "uid: missing or invalid"));
     return;
   }
+  const auto& records = mirror_.records();
   std::string why;
   auto job = parse_job(doc, why);
   std::optional<UserAnswer> refusal;
   if (!job) {
     refusal = error(400, why + ": missing or invalid");
-  } else if (mirror_.records().types) {
-    if (const auto reason = impossible(*job)) refusal = error(422, *reason);
+  } else if (!mirror_.ready() || !records.types || records.types->record.empty()) {
+    refusal = error(503, "the machine types are not known yet", 1);
+  } else if (const auto reason = impossible(*job)) {
+    refusal = error(422, *reason);
+  } else if (records.jobs.size() >= settings_.tuning.max_open_jobs) {
+    refusal = error(503, "too many unfinished jobs", kComeBackSeconds * 5);
+  } else if (remembered(job->uid) != nullptr || records.jobs.contains(job->uid)) {
+    refusal = undecided();  // it is known: a commit would be in vain
   }
   if (refusal) {
-    // A job that was accepted gets 200 whatever the repetition looks like.
+    // A job that was accepted gets 200 whatever the repetition looks like, and whatever keeps a new
+    // one out.
     look_up(Uid(*uid), [this, refusal, answer](const Found& f) { tell(f, *refusal, answer); });
     return;
   }
-  if (!mirror_.ready() || !mirror_.records().types) {
-    answer(error(503, "the machine types are not known yet", 1));
-    return;
-  }
-  if (mirror_.records().jobs.size() >= settings_.tuning.max_open_jobs) {
-    answer(error(503, "too many unfinished jobs", kComeBackSeconds * 5));
-    return;
-  }
-  create(std::make_shared<JobSpec>(std::move(*job)), kTries, std::move(answer));
+  create(std::make_shared<JobSpec>(std::move(*job)), kTries, answer);
 }
 
 void Admission::create(std::shared_ptr<JobSpec> job, int tries, Answer answer) {
@@ -294,7 +360,8 @@
       });
 }
 
-void Admission::query(const std::string& uid, Answer answer) {
+void Admission::query(const std::string& uid, Answer on_answer) {
+  const Answer answer = in_time(loop_, kQuestionTime, std::move(on_answer));
   if (!valid_uid(uid)) {
     answer(error(404, "no such job"));
     return;
@@ -302,17 +369,18 @@
   look_up(Uid(uid), [this, answer](const Found& f) { tell(f, error(404, "no such job"), answer); });
 }
 
-void Admission::abort(const std::string& uid, Answer answer) {
+void Admission::abort(const std::string& uid, Answer on_answer) {
+  const Answer answer = in_time(loop_, kRequestTime, std::move(on_answer));
   if (!valid_uid(uid)) {
     answer(error(404, "no such job"));
     return;
   }
-  cancel(Uid(uid), kTries, std::move(answer));
+  cancel(Uid(uid), kTries, answer);
 }
 
 void Admission::cancel(const Uid& uid, int tries, Answer answer) {
   look_up(uid, [this, uid, tries, answer](const Found& f) {
-    if (!f.ok || tries == 0) {
+    if (!f.ok) {
       answer(undecided());
       return;
     }
@@ -325,10 +393,13 @@
       return;
     }
     if (f.job->record.cancelled) {
-      cancellations_.tell(uid, *f.job->record.cancelled);
       answer(state(uid, "cancelled"));
       return;
     }
+    if (tries == 0) {
+      answer(undecided());
+      return;
+    }
     JobRecord record = f.job->record;
     record.cancelled = clock_.wall();
     Txn txn;
@@ -347,7 +418,8 @@
   });
 }
 
-void Admission::why(const std::string& uid, Answer answer) {
+void Admission::why(const std::string& uid, Answer on_answer) {
+  const Answer answer = in_time(loop_, kQuestionTime, std::move(on_answer));
   if (!valid_uid(uid)) {
     answer(error(404, "no such job"));
     return;
@@ -356,8 +428,6 @@
     if (!f.ok) {
       answer(undecided());
     } else if (f.job) {
-      if (f.job->record.cancelled)
-        cancellations_.tell(f.job->record.spec.uid, *f.job->record.cancelled);
       answer({200, explain(mirror_.records(), f.job->record, clock_.wall()), 0});
     } else {
       answer(f.final_job ? UserAnswer{200, explain(*f.final_job), 0} : error(404, "no such job"));
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -25,7 +25,7 @@
 
 class Admission {
  public:
-  Admission(const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
+  Admission(Loop& loop, const Clock& clock, const Settings& settings, Store& store, Mirror& mirror,
             Cancellations& cancellations);
 
   void submit(const std::string& body, Answer answer);
@@ -41,7 +41,9 @@
     std::optional<FinalRecord> final_job;
   };
 
-  void look_up(const Uid& uid, std::function<void(const Found&)> then);
+  void look_up(const Uid& uid, std::function<void(const Found&)> tell_on);
+  void note_cancellation(const Found& f);
+  void note_silence(const Uid& uid, bool answered);
   void ask_store(const Uid& uid, std::function<void(const Found&)> then);
   void read(const Uid& uid);
   void look_up_final(const Uid& uid);
@@ -56,6 +58,7 @@
   [[nodiscard]] static UserAnswer state_of(const FinalRecord& job);
   [[nodiscard]] std::optional<std::string> impossible(const JobSpec& job) const;
 
+  Loop& loop_;
   const Clock& clock_;
   const Settings& settings_;
   Store& store_;
@@ -68,6 +71,7 @@
     std::vector<std::function<void(const Found&)>> next;
   };
   std::unordered_map<Uid, Reading> reading_;
+  std::unordered_map<Uid, Steady> unanswered_;   // since when, or since it was last logged; bounded
   std::unordered_map<Uid, FinalRecord> finals_;  // never change; bounded
   std::list<Uid> finals_order_;
 };
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -27,7 +27,7 @@
       order_sender_(loop, order_connections(settings)),
       holder_(loop, clock, settings, mirror_, election_, order_sender_, cancellations_),
       offers_(loop, settings, [this](const ReleaseOffer& offer) { return holder_.take(offer); }),
-      admission_(clock, settings, store_, mirror_, cancellations_),
+      admission_(loop, clock, settings, store_, mirror_, cancellations_),
       pulses_(
           loop, clock, settings, [this] { return compose(); },
           [this](const Pulse& pulse, bool newer) { heard(pulse, newer); }),
--- a/src/wire/job_spec.cpp
+++ b/src/wire/job_spec.cpp
@@ -28,8 +28,8 @@
 }
 
 /// A flag that may be absent; any other type is a fault.
-bool read_flag(const json::Value& object, const char* name, bool& out) {
-  if (json::field(object, name) == nullptr) return true;
+bool read_flag(const json::Value& object, const char* name, bool required, bool& out) {
+  if (!required && json::field(object, name) == nullptr) return true;
   const auto v = json::flag(object, name);
   if (v) out = *v;
   return v.has_value();
@@ -117,14 +117,16 @@
     if (!valid_name(district)) return fault("district");
     job.district = ZoneId(*district);
   }
-  if (!read_flag(object, "together", job.together)) return fault("together");
-  if (!read_flag(object, "spread", job.spread)) return fault("spread");
-  if (!read_flag(object, "loaners", job.loaners)) return fault("loaners");
-  if (!read_seconds(object, "expect_s", !job.endless(), job.expect)) return fault("expect_s");
+  // Only what may be null may be absent, except of a service, whose fields nobody has published.
+  const bool required = !job.endless();
+  if (!read_flag(object, "together", required, job.together)) return fault("together");
+  if (!read_flag(object, "spread", required, job.spread)) return fault("spread");
+  if (!read_flag(object, "loaners", required, job.loaners)) return fault("loaners");
+  if (!read_seconds(object, "expect_s", required, job.expect)) return fault("expect_s");
   // A service holds its room without end.
   if (job.endless()) job.expect = kEndless;
-  if (!read_seconds(object, "snapshot_s", false, job.snapshot)) return fault("snapshot_s");
-  if (!read_seconds(object, "stash_s", false, job.stash)) return fault("stash_s");
+  if (!read_seconds(object, "snapshot_s", required, job.snapshot)) return fault("snapshot_s");
+  if (!read_seconds(object, "stash_s", required, job.stash)) return fault("stash_s");
   if (json::field(object, "due_s") != nullptr) {
     Span due;
     if (!read_seconds(object, "due_s", true, due)) return fault("due_s");
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -1,6 +1,9 @@
 // The users' interface against a scripted state service.
 #include "admission/admission.hpp"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
 #include "helpers.hpp"
 #include "scripted_store.hpp"
 
@@ -38,7 +41,8 @@
     type.zones = {ZoneId("a")};
     store_.put(keys::kTypes, encode(std::vector<MachineType>{type}));
     mirror_.begin();
-    admission_ = std::make_unique<Admission>(clock_, settings_, store_, mirror_, cancellations_);
+    admission_ =
+        std::make_unique<Admission>(loop_, clock_, settings_, store_, mirror_, cancellations_);
   }
 
   UserAnswer submit(const std::string& body) {
@@ -69,11 +73,89 @@
       store_.tell_watch();
     }
   }
+  /// The answer to one of the users' requests.
+  enum class Ask { question, submission, cancellation, why };
+  void ask(Ask what, const std::string& uid, Answer then, Admission* of = nullptr) {
+    Admission& admission = of == nullptr ? *admission_ : *of;
+    switch (what) {
+      case Ask::question:
+        admission.query(uid, std::move(then));
+        return;
+      case Ask::submission:
+        admission.submit(changed("req-000412", uid), std::move(then));
+        return;
+      case Ask::cancellation:
+        admission.abort(uid, std::move(then));
+        return;
+      case Ask::why:
+        admission.why(uid, std::move(then));
+        return;
+    }
+  }
+  UserAnswer ask(Ask what, const std::string& uid, Admission* of = nullptr) {
+    UserAnswer out;
+    out.status = 0;
+    ask(
+        what, uid, [&out](const UserAnswer& a) { out = a; }, of);
+    settle(out);
+    return out;
+  }
+  static std::string status_in(const UserAnswer& answer) {
+    json::Document doc;
+    if (!json::parse(doc, answer.body)) return "";
+    return json::text(doc, "status").value_or("");
+  }
+  /// What another controller accepts.
+  Stamp accept_elsewhere(const std::string& uid, std::optional<Wall> cancelled = std::nullopt) {
+    json::Document doc;
+    std::string why;
+    EXPECT_TRUE(json::parse(doc, changed("req-000412", uid)));
+    return store_.put(keys::job(Uid(uid)),
+                      encode(JobRecord{*parse_job(doc, why), clock_.wall(), cancelled}));
+  }
+  /// Whoever holds the last task ends the job, as it knows it: with the stamp that it has of the
+  /// job's record. One that loses against a cancellation reads again, and ends it as cancelled.
+  void end_job(const std::string& uid, Stamp known) {
+    FinalRecord record;
+    record.uid = Uid(uid);
+    record.parts = 2;
+    record.ended = clock_.wall();
+    const auto commit = [&](Stamp stamp, FinalState state) {
+      record.state = state;
+      Txn txn;
+      txn.guard(keys::job(record.uid), stamp);
+      txn.put(keys::final_job(record.uid), encode(record)).remove(keys::job(record.uid));
+      store_.commit(Rank::binding, txn, [](const CommitResult&) {});
+    };
+    commit(known, FinalState::done);
+    if (const auto still = store_.get(keys::job(record.uid))) {
+      commit(still->stamp, FinalState::cancelled);
+    }
+  }
+  std::string final_state(const std::string& uid) const {
+    json::Document doc;
+    FinalRecord record;
+    const auto entry = store_.get(keys::final_job(Uid(uid)));
+    if (!entry || !json::parse(doc, entry->value) || !decode(doc, record)) return "";
+    return record.state == FinalState::done ? "done" : "cancelled";
+  }
+  /// One thing happens: an answer of the state service comes, or time passes and the watch tells.
+  void step() {
+    if (!store_.held.empty()) {
+      const auto next = std::move(store_.held.front());
+      store_.held.pop_front();
+      next();
+      return;
+    }
+    clock_.advance(Span{50});
+    store_.tell_watch();
+  }
   void finish(FinalState state) {
     FinalRecord record;
     record.uid = Uid("req-000412");
     record.state = state;
     record.parts = 2;
+    record.ended = clock_.wall();
     Txn txn;
     txn.put(keys::final_job(record.uid), encode(record)).remove(keys::job(record.uid));
     store_.commit(Rank::binding, txn, [](const CommitResult&) {});
@@ -148,6 +230,54 @@
   EXPECT_TRUE(mirror_.records().jobs.empty());
 }
 
+TEST_F(AdmissionTest, AFieldThatIsMissingOrOfTheWrongTypeIsNamed) {
+  const std::vector<std::string> required{
+      "uid",    "workclass",    "crew",      "shape",      "urgency",  "parts",
+      "cpus",   "accelerators", "memory_gb", "bundle",     "image_gb", "together",
+      "spread", "loaners",      "expect_s",  "snapshot_s", "stash_s"};
+  const auto with = [](const std::string& name, const rapidjson::Value* value) {
+    json::Document doc;
+    EXPECT_TRUE(json::parse(doc, kJob));
+    doc.RemoveMember(name.c_str());
+    if (value != nullptr) {
+      rapidjson::Value key(name.c_str(), doc.GetAllocator());
+      rapidjson::Value copy(*value, doc.GetAllocator());
+      doc.AddMember(key, copy, doc.GetAllocator());
+    }
+    rapidjson::StringBuffer out;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(out);
+    doc.Accept(writer);
+    return std::string(out.GetString());
+  };
+  const rapidjson::Value null;
+  const rapidjson::Value list(rapidjson::kArrayType);
+  for (const std::string& name : required) {
+    for (const rapidjson::Value* value :
+         {static_cast<const rapidjson::Value*>(nullptr), &null, &list}) {
+      const UserAnswer answer = submit(with(name, value));
+      EXPECT_EQ(answer.status, 400) << name;
+      EXPECT_NE(answer.body.find("\"" + name + ":"), std::string::npos) << answer.body;
+    }
+  }
+  EXPECT_TRUE(mirror_.records().jobs.empty());
+  // What may be null may be absent as well.
+  for (const char* name : {"builds", "district", "due_s"}) {
+    EXPECT_EQ(submit(with(name, &list)).status, 400) << name;
+  }
+  EXPECT_EQ(submit(with("builds", nullptr)).status, 201);
+  EXPECT_EQ(submit(with("district", nullptr)).status, 200) << "the same job again";
+  EXPECT_EQ(submit(with("due_s", &null)).status, 200);
+}
+
+TEST_F(AdmissionTest, AGangThatMustBeSpreadNeedsASecondZone) {
+  EXPECT_EQ(submit(changed("\"spread\":false", "\"spread\":true")).status, 422);
+  std::string apart = changed("\"spread\":false", "\"spread\":true");
+  apart.replace(apart.find("\"together\":true"), 15, "\"together\":false");
+  EXPECT_EQ(submit(apart).status, 422) << "there is one zone";
+  apart.replace(apart.find("ensemble"), 8, "batch");
+  EXPECT_EQ(submit(apart).status, 201) << "one half after the other";
+}
+
 TEST_F(AdmissionTest, WhatCanNeverRunIs422) {
   EXPECT_EQ(submit(changed("\"vision\"", "\"nobody\"")).status, 422);
   EXPECT_EQ(submit(changed("\"accelerators\":1.0", "\"accelerators\":3.0")).status, 422);
@@ -294,5 +424,371 @@
   EXPECT_EQ(std::count(status.begin(), status.end(), 200), 2 * kJobs);
 }
 
+// One record decides, and every answer follows it, wherever between a request's reads and commits
+// the job's last task ends, and whether this controller knew the job or another had accepted it.
+TEST_F(AdmissionTest, EveryAnswerFollowsTheDecidingRecordWhereverTheEndFalls) {
+  // Another controller, which must read all that it tells.
+  Mirror blind(loop_, clock_, store_, 2);
+  Cancellations others(clock_, blind);
+  Admission other(loop_, clock_, settings_, store_, blind, others);
+  int number = 0;
+  for (const Ask what : {Ask::question, Ask::submission, Ask::cancellation, Ask::why}) {
+    for (const bool known : {true, false}) {
+      for (int end_after = 0; end_after < 8; ++end_after) {
+        const std::string uid = "req-" + std::to_string(++number);
+        SCOPED_TRACE(uid + ": request " + std::to_string(static_cast<int>(what)) +
+                     (known ? ", known" : ", accepted elsewhere") + ", ends after step " +
+                     std::to_string(end_after));
+        Stamp stamp = accept_elsewhere(uid);
+        if (known) {
+          for (int i = 0; i < 3; ++i) step();
+        }
+        store_.hold = true;
+        UserAnswer out;
+        out.status = 0;
+        int answers = 0;
+        ask(what, uid, [&](const UserAnswer& a) {
+          out = a;
+          ++answers;
+        });
+        for (int i = 0; i < 20; ++i) {
+          if (i == end_after) end_job(uid, stamp);
+          step();
+        }
+        store_.hold = false;
+        store_.deliver_all();
+        EXPECT_EQ(answers, 1);
+        EXPECT_EQ(out.status, 200) << out.body;
+        const std::string final = final_state(uid);
+        if (what == Ask::cancellation) {
+          EXPECT_EQ(status_in(out), final) << "a cancellation has one of two ends";
+        } else {
+          EXPECT_EQ(final, "done");
+          EXPECT_TRUE(status_in(out) == "done" || status_in(out) == "queued") << out.body;
+        }
+        for (Admission* of : {admission_.get(), &other}) {
+          for (const Ask again : {Ask::question, Ask::submission, Ask::cancellation, Ask::why}) {
+            EXPECT_EQ(status_in(ask(again, uid, of)), final);
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_F(AdmissionTest, ACancellationThatLosesAgainstTheEndReadsAgainAndTellsDone) {
+  const Stamp stamp = accept_elsewhere("req-000412");
+  for (int i = 0; i < 3; ++i) step();
+  // The end falls between the word of the watch that the cancellation follows and its commit.
+  bool ended = false;
+  mirror_.listen([&](Topic topic, const std::string&) {
+    if (topic == Topic::grant && !ended) end_job("req-000412", stamp);
+    ended = ended || topic == Topic::grant;
+  });
+  const std::size_t commits = store_.commits.size();
+  UserAnswer out;
+  out.status = 0;
+  admission_->abort("req-000412", [&out](const UserAnswer& a) { out = a; });
+  step();  // the watch that was open when it came, which it can't go by
+  GrantRecord grant;
+  grant.uid = Uid("req-000412");
+  store_.put(keys::grant(grant.uid), encode(grant));
+  settle(out);
+  EXPECT_TRUE(ended);
+  EXPECT_EQ(store_.commits.size(), commits + 2) << "the end, and the cancellation that lost";
+  EXPECT_EQ(out.status, 200);
+  EXPECT_EQ(status_in(out), "done");
+  EXPECT_EQ(final_state("req-000412"), "done");
+}
+
+// A question about a job whose record has moved between its two reads, in the order in which they
+// are sent: first the job, then its end. The other way round would make it unknown.
+TEST_F(AdmissionTest, AJobThatEndsBetweenTheTwoReadsOfAQuestionIsNeverUnknown) {
+  const Stamp stamp = accept_elsewhere("req-000412");
+  store_.hold = true;
+  UserAnswer out;
+  out.status = 0;
+  admission_->query("req-000412", [&out](const UserAnswer& a) { out = a; });
+  end_job("req-000412", stamp);
+  store_.hold = false;
+  store_.deliver_all();
+  EXPECT_EQ(out.status, 200);
+  // And one that is accepted and ends between them.
+  store_.hold = true;
+  out.status = 0;
+  admission_->query("req-000413", [&out](const UserAnswer& a) { out = a; });
+  end_job("req-000413", accept_elsewhere("req-000413"));
+  store_.hold = false;
+  store_.deliver_all();
+  EXPECT_EQ(out.status, 200);
+  EXPECT_EQ(status_in(out), "done");
+}
+
+// The answer to a commit can be held up while the watch tells the commit and what became of its
+// record afterwards: it must not bring back into the copy what has been deleted.
+TEST_F(AdmissionTest, AnAnswerThatComesLateBringsNoJobBackIntoTheCopy) {
+  store_.hold = true;
+  admission_->submit(kJob, [](const UserAnswer&) {});
+  store_.hold = false;
+  end_job("req-000412", store_.get(keys::job(Uid("req-000412")))->stamp);
+  for (int i = 0; i < 3; ++i) {
+    clock_.advance(Span{50});
+    store_.tell_watch();
+  }
+  store_.deliver_all();
+  EXPECT_FALSE(mirror_.records().jobs.contains(Uid("req-000412")));
+  EXPECT_EQ(status_in(query("req-000412")), "done");
+}
+
+// A state service that answers slowly costs the user a 503 while he still listens, 2 s for a
+// question and 5 s for the others; what comes later is not told any more, but serves the next.
+TEST_F(AdmissionTest, ASlowStateServiceCostsA503InTime) {
+  int number = 0;
+  for (const Ask what : {Ask::question, Ask::submission, Ask::cancellation, Ask::why}) {
+    const Span patience{what == Ask::question || what == Ask::why ? 2000 : 5000};
+    for (const bool ended : {false, true}) {
+      const std::string uid = "req-" + std::to_string(++number);
+      SCOPED_TRACE(uid + ": request " + std::to_string(static_cast<int>(what)));
+      const Stamp stamp = accept_elsewhere(uid);
+      if (ended) end_job(uid, stamp);
+      store_.hold = true;
+      std::vector<UserAnswer> answers;
+      const auto take = [&](const UserAnswer& a) { answers.push_back(a); };
+      ask(what, uid, take);
+      clock_.advance(patience * 0.5);
+      EXPECT_TRUE(answers.empty()) << "there is time left";
+      clock_.advance(patience * 0.45);
+      ASSERT_EQ(answers.size(), 1U);
+      EXPECT_EQ(answers.front().status, 503);
+      EXPECT_GT(answers.front().retry_after_s, 0);
+      store_.hold = false;
+      store_.deliver_all();
+      EXPECT_EQ(answers.size(), 1U);
+      EXPECT_EQ(ask(what, uid).status, 200);
+    }
+  }
+}
+
+// Every answer takes longer than a question's time: the read goes on when its user has gone, and
+// what it finds of a job that has ended is told at once to the next that asks.
+TEST_F(AdmissionTest, AQuestionThatCameTooEarlyIsOfUseToTheNext) {
+  end_job("req-000412", accept_elsewhere("req-000412"));
+  store_.hold = true;
+  int status = 0;
+  admission_->query("req-000412", [&status](const UserAnswer& a) { status = a.status; });
+  clock_.advance(Span{2000});
+  EXPECT_EQ(status, 503);
+  store_.deliver_all();
+  admission_->query("req-000412", [&status](const UserAnswer& a) { status = a.status; });
+  EXPECT_EQ(status, 200);
+}
+
+// What became of a cancellation's commit is read back before anything is told, whatever happened to
+// the commit, and whether this controller had the job in its copy.
+TEST_F(AdmissionTest, ACancellationIsToldOnlyOnceItIsKnown) {
+  struct Case {
+    std::deque<Script> scripts;
+    int status;
+  };
+  const std::vector<Case> cases{
+      {{Script::lose_answer}, 200},
+      {{Script::lose_request}, 200},
+      {{Script::arrive_late}, 200},
+      {{Script::lose_request, Script::arrive_late, Script::lose_answer}, 200},
+      {{Script::refuse}, 503},
+      {{Script::lose_request, Script::lose_request, Script::lose_request}, 503},
+      {{Script::arrive_late, Script::arrive_late, Script::arrive_late}, 503},
+  };
+  int number = 0;
+  for (const Case& c : cases) {
+    for (const bool known : {true, false}) {
+      const std::string uid = "req-" + std::to_string(++number);
+      SCOPED_TRACE(uid);
+      accept_elsewhere(uid);
+      if (known) {
+        for (int i = 0; i < 3; ++i) step();
+      }
+      const auto cancelled = [&] {
+        json::Document doc;
+        JobRecord record;
+        const auto entry = store_.get(keys::job(Uid(uid)));
+        return entry && json::parse(doc, entry->value) && decode(doc, record) && record.cancelled;
+      };
+      store_.scripts = c.scripts;
+      UserAnswer out;
+      out.status = 0;
+      admission_->abort(uid, [&](const UserAnswer& a) {
+        out = a;
+        EXPECT_EQ(a.status == 200, cancelled()) << "told before it was so, or not told";
+      });
+      settle(out);
+      EXPECT_EQ(out.status, c.status);
+      EXPECT_EQ(status_in(out), c.status == 200 ? "cancelled" : "");
+      EXPECT_TRUE(store_.scripts.empty());
+      // What was told stays, when late commits arrive as well.
+      while (!store_.late.empty()) {
+        const Fate expected = cancelled() ? Fate::conflict : Fate::done;
+        EXPECT_EQ(store_.arrive().fate, expected);
+      }
+      EXPECT_EQ(status_in(ask(Ask::question, uid)), cancelled() ? "cancelled" : "queued");
+    }
+  }
+}
+
+// A late commit of this controller comes after newer ones. A job's record is deleted when it ends,
+// so that a stamp of 0 holds for it again: the record of its end, which is never deleted, stands in
+// the way of a submission; a cancellation names the stamp of what it changes.
+TEST_F(AdmissionTest, WhatIsCarriedOutLateChangesNothingThatWasToldSince) {
+  for (const bool cancelled : {false, true}) {
+    const std::string uid = cancelled ? "req-1" : "req-2";
+    store_.scripts = {Script::arrive_late};
+    EXPECT_EQ(ask(Ask::submission, uid).status, 201) << "by the second commit";
+    const Stamp stamp = store_.get(keys::job(Uid(uid)))->stamp;
+    store_.scripts = {Script::arrive_late, Script::arrive_late, Script::arrive_late};
+    EXPECT_EQ(ask(Ask::cancellation, uid).status, 503);
+    if (cancelled) {
+      EXPECT_EQ(status_in(ask(Ask::cancellation, uid)), "cancelled");
+    }
+    // The submission comes late once while the job is there, and the rest when it has ended.
+    ASSERT_EQ(store_.late.size(), 4U);
+    const Txn submission = store_.late.front();
+    EXPECT_EQ(store_.arrive().fate, Fate::conflict);
+    end_job(uid, stamp);
+    const std::string final = cancelled ? "cancelled" : "done";
+    EXPECT_EQ(final_state(uid), final);
+    store_.late.push_back(submission);
+    while (!store_.late.empty()) EXPECT_EQ(store_.arrive().fate, Fate::conflict);
+    EXPECT_FALSE(store_.get(keys::job(Uid(uid))));
+    EXPECT_EQ(final_state(uid), final);
+    for (const Ask what : {Ask::question, Ask::submission, Ask::cancellation, Ask::why}) {
+      EXPECT_EQ(status_in(ask(what, uid)), final);
+    }
+  }
+}
+
+// The submission's commit finds by itself that the job is known, when this controller's copy does
+// not have it: accepted elsewhere a moment ago, or over for long.
+TEST_F(AdmissionTest, ASubmissionThatFindsItsJobKnownTellsItsState) {
+  for (const Script script : {Script::normal, Script::lose_request}) {
+    const std::string uid = "req-" + std::to_string(static_cast<int>(script));
+    const Stamp stamp = accept_elsewhere(uid);
+    store_.scripts = {script};
+    EXPECT_EQ(status_in(ask(Ask::submission, uid)), "queued");
+    end_job(uid, stamp);
+    for (int i = 0; i < 3; ++i) step();
+    store_.scripts = {script};
+    const auto answer = ask(Ask::submission, uid);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(status_in(answer), "done");
+    EXPECT_TRUE(store_.scripts.empty());
+  }
+}
+
+// Peers vouch for one another by what they list: whatever tells a user "cancelled" lists it first.
+TEST_F(AdmissionTest, WhateverTellsACancellationHasListedIt) {
+  const auto listed = [&](const std::string& uid) {
+    const auto list = cancellations_.list();
+    return std::any_of(list.items.begin(), list.items.end(),
+                       [&](const auto& item) { return item.uid == uid; });
+  };
+  int number = 0;
+  for (const Ask what : {Ask::question, Ask::submission, Ask::cancellation, Ask::why}) {
+    for (const bool known : {true, false}) {
+      const std::string uid = "req-" + std::to_string(++number);
+      SCOPED_TRACE(uid + ": request " + std::to_string(static_cast<int>(what)));
+      accept_elsewhere(uid, clock_.wall());  // cancelled there, too
+      if (known) {
+        for (int i = 0; i < 3; ++i) step();
+      }
+      clock_.advance(Span{60'000});
+      EXPECT_EQ(listed(uid), known);
+      UserAnswer out;
+      out.status = 0;
+      ask(what, uid, [&](const UserAnswer& a) {
+        out = a;
+        EXPECT_TRUE(listed(uid));
+      });
+      settle(out);
+      EXPECT_EQ(status_in(out), "cancelled");
+    }
+  }
+}
+
+// A cancellation whose commit got no answer is not told, nor listed, until it is read back.
+TEST_F(AdmissionTest, ACancellationOfUnknownOutcomeIsNeitherToldNorListed) {
+  accept_elsewhere("req-000412");
+  for (int i = 0; i < 3; ++i) step();
+  store_.scripts = {Script::arrive_late, Script::arrive_late, Script::arrive_late};
+  EXPECT_EQ(ask(Ask::cancellation, "req-000412").status, 503);
+  EXPECT_TRUE(cancellations_.list().items.empty());
+  EXPECT_EQ(store_.arrive().fate, Fate::done);
+  EXPECT_EQ(status_in(ask(Ask::question, "req-000412")), "cancelled");
+  EXPECT_EQ(cancellations_.list().items.size(), 1U);
+}
+
+// Nothing that keeps a new job out keeps the user of a known one from its state.
+TEST_F(AdmissionTest, ARepeatedSubmissionIsAnsweredWhateverKeepsNewJobsOut) {
+  EXPECT_EQ(submit(kJob).status, 201);
+  store_.scripts = {Script::refuse};  // no writes now
+  EXPECT_EQ(submit(kJob).status, 200);
+  EXPECT_EQ(submit(changed("req-000412", "req-000413")).status, 503);
+  settings_.tuning.max_open_jobs = 1;
+  EXPECT_EQ(submit(changed("req-000412", "req-000413")).status, 503);
+  EXPECT_EQ(submit(kJob).status, 200);
+  finish(FinalState::done);
+  const auto answer = submit(kJob);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(status_in(answer), "done");
+}
+
+// On each path that an answer takes: once an outage is over, the first request is answered, though
+// all were asked about again and again in vain.
+TEST_F(AdmissionTest, AfterAnOutageTheFirstRequestOnEachPathIsAnswered) {
+  const std::map<std::string, std::string> expected{
+      {"req-1", "queued"},     // in the copy
+      {"req-2", "done"},       // in the copy, and has ended since
+      {"req-3", "queued"},     // accepted elsewhere, not yet in the copy
+      {"req-4", "done"},       // ended, and nobody has asked
+      {"req-5", "done"},       // ended, and remembered
+      {"req-6", "cancelled"},  // cancelled, and not yet ended
+      {"req-7", "cancelled"},  // the same, not yet in the copy
+  };
+  accept_elsewhere("req-1");
+  const Stamp ending = accept_elsewhere("req-2");
+  end_job("req-4", accept_elsewhere("req-4"));
+  end_job("req-5", accept_elsewhere("req-5"));
+  accept_elsewhere("req-6", clock_.wall());
+  for (int i = 0; i < 3; ++i) step();
+  EXPECT_EQ(status_in(query("req-5")), "done");
+  end_job("req-2", ending);
+  accept_elsewhere("req-3");
+  accept_elsewhere("req-7", clock_.wall());
+  store_.down = true;
+  store_.scripts.assign(1000, Script::refuse);
+  const std::vector<Ask> asks{Ask::question, Ask::why, Ask::submission, Ask::cancellation};
+  for (int poll = 0; poll < 20; ++poll) {
+    std::vector<UserAnswer> answers;
+    for (const auto& [uid, state] : expected) {
+      for (const Ask what : asks) {
+        ask(what, uid, [&answers](const UserAnswer& a) { answers.push_back(a); });
+      }
+    }
+    clock_.advance(Span{5000});
+    ASSERT_EQ(answers.size(), expected.size() * asks.size());
+    for (const auto& a : answers) EXPECT_TRUE(a.status == 503 || status_in(a) == "done") << a.body;
+  }
+  store_.down = false;
+  store_.scripts.clear();
+  for (const auto& [uid, state] : expected) {
+    SCOPED_TRACE(uid);
+    for (const Ask what : asks) {
+      const auto answer = ask(what, uid);
+      EXPECT_EQ(answer.status, 200);
+      const bool ends = what == Ask::cancellation && state == "queued";
+      EXPECT_EQ(status_in(answer), ends ? "cancelled" : state);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace marblevale
