--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -25,13 +25,7 @@
 constexpr Duration kWorthDisplacing{3'000};
 constexpr Duration kUnreachableZoneMaxAge{
     4'000};  // of a holder's word that it reaches no machine of a zone
-constexpr Duration kStarvationCheckInterval{10'000};
-constexpr Duration kStarvedAfter{30'000};  // of waiting: no job may wait for 90 s beside free room
-constexpr Duration kStarvationConfirmTime{
-    15'000};  // from the first sweep that finds it to the word of it
-constexpr Duration kStarvationLogInterval{60'000};
-constexpr Duration kMachineOutOfUse{60'000};
-constexpr std::size_t kMaxStarved = 32;
+constexpr Duration kRemakeInterval{60'000};  // between two makings of the profile
 constexpr Duration kLimitCheckInterval{2'000};
 constexpr Duration kUnsettledFor{5'000};   // after which it is told as a reason for waiting
 constexpr std::size_t kMaxLimitWaits = 8;  // jobs that are told so at a time
@@ -60,6 +54,7 @@
       releaser_(loop.metrics(), clock, settings, cache, election,
                 {.answered = [this] { schedule_round(); },
                  .limit_exceeded = [this] { remake_profile(); }}),
+      starvation_(clock, settings, cache, releaser_),
       timer_(loop, [this] { round(); }) {
   cache_.listen(
       [this](RecordKind topic, const std::string& key) { on_record_changed(topic, key); });
@@ -139,7 +134,7 @@
   limit_noted_.clear();
   cleanup_.begin_term();
   made_room_.clear();
-  starved_.clear();
+  starvation_.begin_term();
   cursor_ = 0;
   reset_occupancy();
   // The stored guarantees are taken as they are; places are found again at those times.
@@ -209,8 +204,7 @@
   if (rentals_.due()) rentals_.plan(planner, reservations_);
   if (clock_.steady() - last_limit_check_ >= kLimitCheckInterval) note_limit_waits(planner);
   grants_.flush(reservations_);
-  if (clock_.steady() - last_starvation_check_ >= kStarvationCheckInterval)
-    check_starvation(planner);
+  if (starvation_.due()) check_starvation(planner);
   occupancy_.profile() = planner.take_profile();
   // How often the budget ends before the queue does.
   if (!admitted || cursor_ != 0) metrics_.count("rounds cut short");
@@ -402,36 +396,16 @@
 }
 
 void Granting::check_starvation(const Planner& planner) {
-  last_starvation_check_ = clock_.steady();
-  const auto& records = cache_.records();
   // One of a single slice is ended by the commit that ends its last task; whatever kept that from
   // happening, it must not stay for ever.
   cleanup_.end_all_finished();
-  const auto found =
-      find_starved(records, settings_, clock_.wall(), kStarvedAfter, kMachineOutOfUse, kMaxStarved);
-  std::set<JobId> still;
-  bool remake = false;
-  for (const StarvedJob& job : found) {
-    still.insert(job.job_id);
-    const auto [it, fresh] =
-        starved_.try_emplace(job.job_id, StarvedSince{last_starvation_check_, {}});
-    // Found once, it may be about to start.
-    if (last_starvation_check_ - it->second.first < kStarvationConfirmTime) continue;
-    if (last_starvation_check_ - it->second.last_logged_at < kStarvationLogInterval) continue;
-    it->second.last_logged_at = last_starvation_check_;
-    const Cause cause = explain_starvation(job, planner);
-    spdlog::warn("granting: {} has waited for {} s, though {} has room for it: {}",
-                 job.job_id.get(), job.waited.ms / 1000, job.machine_id.get(), cause.what);
-    remake = remake || cause.profile_is_wrong;
-  }
-  std::erase_if(starved_, [&](const auto& entry) { return !still.contains(entry.first); });
-  if (remake) remake_profile();
+  if (starvation_.run(planner, reservations_, unreachable_zones())) remake_profile();
 }
 
 void Granting::remake_profile() {
   // It has gone wrong and is made anew from the records. Guarantees stay.
   const SteadyTime now = clock_.steady();
-  if (now - last_remade_ < kStarvationLogInterval) return;
+  if (now - last_remade_ < kRemakeInterval) return;
   last_remade_ = now;
   metrics_.count("profile made anew");
   reset_occupancy();
@@ -450,47 +424,4 @@
   }
 }
 
-Granting::Cause Granting::explain_starvation(const StarvedJob& job, const Planner& planner) const {
-  if (job.state != MachineState::up) return {std::string("it is ") + name_of(job.state)};
-  const auto& records = cache_.records();
-  const auto machine = records.machines.find(job.machine_id);
-  if (machine != records.machines.end() &&
-      unreachable_zones().contains(machine->second.record.zone)) {
-    return {"its zone is out of reach"};
-  }
-  for (std::uint32_t n = 0; n < slice_count(records.job(job.job_id)->spec); ++n) {
-    const auto state = releaser_.open().state({job.job_id, n});
-    if (!state) continue;
-    return {*state == OpenReleases::State::offered ? "an offer has not been settled"
-                                                   : "a release has not been settled"};
-  }
-  for (const SliceKey& key : releaser_.open().unsettled_for(kUnsettledFor, clock_.steady())) {
-    const JobRecord* open = records.job(key.first);
-    if (open != nullptr && open->spec.team == records.job(job.job_id)->spec.team)
-      return {"a release of its team has not been settled"};
-  }
-  const auto& queue = planner.queue();
-  const auto item = std::find_if(queue.begin(), queue.end(),
-                                 [&](const QueueItem& i) { return i.job_id == job.job_id; });
-  if (item == queue.end()) return {"the job is not in the queue", true};
-  const WallTime now = clock_.wall();
-  if (item->not_before > now) return {"it is tried again after a pause"};
-  for (const auto& [job_id, r] : reservations_) {
-    if (job_id == job.job_id) continue;
-    for (const auto& place : r.places) {
-      if (place.machine_id == job.machine_id && place.start < now + item->demand.run * 2.0) {
-        return {"room there is reserved for " + job_id.get()};
-      }
-    }
-  }
-  const auto lane = planner.profile().find(job.machine_id);
-  if (!lane) return {"it is not in the profile", true};
-  if (!planner.profile().lane(*lane).takes(item->demand.job->need, now, now + Duration{1})) {
-    return {"its room is taken in the profile", true};
-  }
-  const auto r = reservations_.find(job.job_id);
-  if (r == reservations_.end()) return {"it has no reservation", true};
-  return {r->second.places.empty() ? "its reservation has no place" : "unknown", true};
-}
-
 }  // namespace marblevale
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -17,7 +17,7 @@
 #include "planner/planner.hpp"
 #include "planner/releaser.hpp"
 #include "planner/rental_planner.hpp"
-#include "planner/starvation.hpp"
+#include "planner/starvation_check.hpp"
 #include "store/watch_cache.hpp"
 
 namespace marblevale {
@@ -62,11 +62,6 @@
   void note_limit_waits(const Planner& planner);
   /// The profile disagrees with the records: it is made anew, at most once a minute.
   void remake_profile();
-  struct Cause {
-    std::string what;
-    bool profile_is_wrong = false;  // what is said is no reason by the records
-  };
-  [[nodiscard]] Cause explain_starvation(const StarvedJob& job, const Planner& planner) const;
 
   Metrics& metrics_;
   const Clock& clock_;
@@ -78,6 +73,7 @@
   JobCleanup cleanup_;
   RentalPlanner rentals_;
   Releaser releaser_;
+  StarvationCheck starvation_;
   State state_ = State::idle;
   ModRevision term_;
   Reservations reservations_;
@@ -97,12 +93,6 @@
   SteadyTime round_over_{};
   Duration round_took_{};
   SteadyTime last_summary_{-1'000'000};
-  struct StarvedSince {
-    SteadyTime first;
-    SteadyTime last_logged_at;
-  };
-  std::map<JobId, StarvedSince> starved_;
-  SteadyTime last_starvation_check_{};
   SteadyTime last_remade_{-1'000'000};
   SteadyTime last_limit_check_{};
   std::unordered_set<JobId> limit_noted_;  // jobs that wait and have the note already
--- a/src/planner/open_releases.cpp
+++ b/src/planner/open_releases.cpp
@@ -172,8 +172,11 @@
       release.slices.begin(), release.slices.end(),
       [&](const GuardedSlice& slice) { return slice_revision(records, slice.key) != slice.guard; });
   if (slice_changed) return SettledBy::slice_revision;
-  if (release.job_guard) {
-    const auto job = records.jobs.find(release.slices.front().key.first);
+  const JobId& job_id = release.slices.front().key.first;
+  // The release may have been applied just before the job changed, and the copy have only our own
+  // change of the job: then the slice follows.
+  if (release.job_guard && cache.told_by_watch(keys::job(job_id))) {
+    const auto job = records.jobs.find(job_id);
     if (job == records.jobs.end() || job->second.mod_revision != *release.job_guard) {
       return SettledBy::job_revision;
     }
--- /dev/null
+++ b/src/planner/starvation_check.cpp
@@ -0,0 +1,110 @@
+#include "planner/starvation_check.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace marblevale {
+
+namespace {
+
+constexpr Duration kInterval{10'000};
+constexpr Duration kStarvedAfter{30'000};  // of waiting: no job may wait for 90 s beside free room
+constexpr Duration kConfirmTime{15'000};   // from the first check that finds it to the word of it
+constexpr Duration kLogInterval{60'000};   // between two words of one job
+constexpr Duration kMachineOutOfUse{60'000};
+constexpr std::size_t kMaxStarved = 32;
+constexpr Duration kUnsettledFor{5'000};  // a release: then it is a cause
+
+}  // namespace
+
+StarvationCheck::StarvationCheck(const Clock& clock, const Settings& settings,
+                                 const WatchCache& cache, const Releaser& releaser)
+    : clock_(clock), settings_(settings), cache_(cache), releaser_(releaser) {}
+
+bool StarvationCheck::due() const { return clock_.steady() - last_run_ >= kInterval; }
+
+bool StarvationCheck::run(const Planner& planner, const Reservations& reservations,
+                          const std::set<ZoneId>& unreachable_zones) {
+  last_run_ = clock_.steady();
+  const Round round{planner, reservations, unreachable_zones};
+  const auto found = find_starved(cache_.records(), settings_, clock_.wall(), kStarvedAfter,
+                                  kMachineOutOfUse, kMaxStarved);
+  std::set<JobId> still;
+  bool profile_is_wrong = false;
+  for (const StarvedJob& job : found) {
+    still.insert(job.job_id);
+    Since& since = waiting_.try_emplace(job.job_id, Since{last_run_, {}}).first->second;
+    // Found once, it may be about to start.
+    if (last_run_ - since.first < kConfirmTime) continue;
+    if (last_run_ - since.last_logged_at < kLogInterval) continue;
+    since.last_logged_at = last_run_;
+    const Cause cause = explain(job, round);
+    spdlog::warn("granting: {} has waited for {} s, though {} has room for it: {}",
+                 job.job_id.get(), job.waited.ms / 1000, job.machine_id.get(), cause.what);
+    profile_is_wrong = profile_is_wrong || cause.profile_is_wrong;
+  }
+  std::erase_if(waiting_, [&](const auto& entry) { return !still.contains(entry.first); });
+  return profile_is_wrong;
+}
+
+StarvationCheck::Cause StarvationCheck::explain(const StarvedJob& job, const Round& round) const {
+  if (job.state != MachineState::up) return {std::string("it is ") + name_of(job.state)};
+  const auto& machines = cache_.records().machines;
+  const auto machine = machines.find(job.machine_id);
+  if (machine != machines.end() && round.unreachable_zones.contains(machine->second.record.zone)) {
+    return {"its zone is out of reach"};
+  }
+  if (const auto cause = unsettled_release(job)) return *cause;
+  const auto& queue = round.planner.queue();
+  const auto item = std::find_if(queue.begin(), queue.end(),
+                                 [&](const QueueItem& i) { return i.job_id == job.job_id; });
+  if (item == queue.end()) return {"the job is not in the queue", true};
+  if (item->not_before > clock_.wall()) return {"it is tried again after a pause"};
+  return explain_by_profile(job, *item, round);
+}
+
+std::optional<StarvationCheck::Cause> StarvationCheck::unsettled_release(
+    const StarvedJob& job) const {
+  const Records& records = cache_.records();
+  const OpenReleases& open = releaser_.open();
+  const JobSpec& spec = records.job(job.job_id)->spec;
+  for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
+    const auto state = open.state(SliceKey{job.job_id, n});
+    if (!state) continue;
+    return Cause{*state == OpenReleases::State::offered ? "an offer has not been settled"
+                                                        : "a release has not been settled"};
+  }
+  for (const SliceKey& key : open.unsettled_for(kUnsettledFor, clock_.steady())) {
+    const JobRecord* other = records.job(key.first);
+    if (other != nullptr && other->spec.team == spec.team) {
+      return Cause{"a release of its team has not been settled"};
+    }
+  }
+  return std::nullopt;
+}
+
+StarvationCheck::Cause StarvationCheck::explain_by_profile(const StarvedJob& job,
+                                                           const QueueItem& item,
+                                                           const Round& round) const {
+  const WallTime now = clock_.wall();
+  for (const auto& [job_id, reservation] : round.reservations) {
+    if (job_id == job.job_id) continue;
+    for (const auto& place : reservation.places) {
+      if (place.machine_id == job.machine_id && place.start < now + item.demand.run * 2.0) {
+        return {"room there is reserved for " + job_id.get()};
+      }
+    }
+  }
+  const Profile& profile = round.planner.profile();
+  const auto lane = profile.find(job.machine_id);
+  if (!lane) return {"it is not in the profile", true};
+  if (!profile.lane(*lane).takes(item.demand.job->need, now, now + Duration{1})) {
+    return {"its room is taken in the profile", true};
+  }
+  const auto reservation = round.reservations.find(job.job_id);
+  if (reservation == round.reservations.end()) return {"it has no reservation", true};
+  return {reservation->second.places.empty() ? "its reservation has no place" : "unknown", true};
+}
+
+}  // namespace marblevale
--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -119,6 +119,12 @@
       follow_later_(loop, [this] { follow(); }),
       give_up_(loop, [this] { answer_waiting(); }) {}
 
+bool WatchCache::told_by_watch(const std::string& key) const {
+  const auto known = mod_revisions_.find(key);
+  const bool own = known != mod_revisions_.end() && known->second.get() > revision_.get();
+  return !own && !removed_.contains(key);
+}
+
 void WatchCache::when_fresh(std::function<void(bool)> then) {
   if (waiting_.size() >= kMaxWaiting || !ever_loaded_) {
     then(false);
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -70,6 +70,10 @@
   [[nodiscard]] SteadyTime fresh_until() const { return fresh_until_; }
   [[nodiscard]] WallTime fresh_until_wall() const { return fresh_until_wall_; }
 
+  /// False when the copy has an own commit of the key that the watch has not told yet: what others
+  /// committed before it may be missing.
+  [[nodiscard]] bool told_by_watch(const std::string& key) const;
+
   /// Calls back once all that was committed before this call is in the records, or with false when
   /// that does not come about in time.
   void when_fresh(std::function<void(bool)> then);
--- a/tests/release_outcome_test.cpp
+++ b/tests/release_outcome_test.cpp
@@ -23,6 +23,11 @@
     submit(spec);
   }
 
+  /// Time passes, and the watch tells nothing.
+  void run_without_watch(Duration duration) {
+    for (std::int64_t at = 0; at < duration.ms; at += 10) time_.advance(Duration{10});
+  }
+
   void script(const std::string& job_id, std::deque<Script> scripts) {
     store_.key_scripts[slice_key(job_id)] = std::move(scripts);
   }
@@ -130,5 +135,30 @@
             1);
 }
 
+// The leader's own commits are in its copy before what others committed earlier: a release may have
+// been applied just before this controller cancelled its job.
+TEST_F(ReleaseOutcomeTest, AnOwnCommitOfTheJobDoesNotHideTheReleaseThatCameBefore) {
+  begin();
+  run(Duration{600});
+  script("req-1", {Script::lose_answer, Script::refuse, Script::refuse, Script::refuse});
+  submit_gang("req-1", 2);
+  run(Duration{10});
+  run_without_watch(Duration{60});
+  ASSERT_EQ(tasks("req-1").size(), 1U) << "it was applied; nobody said so";
+  const auto job = cache_.records().jobs.at(JobId("req-1"));
+  JobRecord cancelled = job.record;
+  cancelled.cancelled = time_.wall();
+  Txn cancel;
+  cancel.guard(keys::job(JobId("req-1")), job.mod_revision);
+  cancel.put(keys::job(JobId("req-1")), encode(cancelled));
+  cache_.commit(RequestPriority::binding, cancel, [](const CommitResult&) {});
+  Txn accept;
+  accept.put(keys::job(JobId("req-2")),
+             encode(JobRecord{testing::gang("req-2", 1, 1, 60), time_.wall(), std::nullopt}));
+  cache_.commit(RequestPriority::submission, accept, [](const CommitResult&) {});
+  run_without_watch(Duration{2000});
+  EXPECT_LE(gpus_in_use({{"req-1", 2}, {"req-2", 1}}), kLimit);
+}
+
 }  // namespace
 }  // namespace marblevale
