--- a/tests/release_outcome_test.cpp
+++ b/tests/release_outcome_test.cpp
@@ -135,6 +135,46 @@
             1);
 }
 
+// Use is counted from what is placed, never from an expected end: at no moment of an overrun,
+// however often the end is reached, does the task seem to be gone.
+TEST_F(ReleaseOutcomeTest, ATaskThatOverrunsCountsAtEveryMoment) {
+  JobSpec overrunning = testing::gang("req-1", 1, 2, 1);
+  submit(overrunning);
+  TaskRecord task = bound("vm-1");
+  task.running = time_.wall();
+  set_task("req-1", task);
+  begin();
+  submit_gang("req-2", 1, Urgency::standard);
+  for (int second = 0; second < 120; ++second) {
+    run(Duration{1000});
+    ASSERT_TRUE(tasks("req-2").empty()) << "after " << second << " s";
+  }
+}
+
+// A commit that stops tasks went without an answer, and its repeat is refused: what it stops is on
+// its machine until proof.
+TEST_F(ReleaseOutcomeTest, AStopWithoutAnAnswerFreesNothing) {
+  submit(testing::gang("req-1", 1, 2, 600));
+  set_task("req-1", bound("vm-1"));
+  begin();
+  std::deque<Script> lost(20, Script::refuse);
+  lost.push_front(Script::arrive_late);
+  script("req-1", lost);
+  MachineRecord taken = cache_.records().machines.at(MachineId("vm-1")).record;
+  taken.reclaim_at = time_.wall() + Duration{4'000};
+  store_.put_machine(taken);
+  machine("vm-2");
+  run(Duration{500});
+  ASSERT_EQ(store_.late.size(), 1U) << "the stop";
+  submit_gang("req-2", 1, Urgency::urgent);
+  run(Duration{5'000});
+  EXPECT_TRUE(tasks("req-2").empty());
+  store_.arrive();
+  run(Duration{5'000});
+  EXPECT_TRUE(tasks("req-1").at(0).stop);
+  EXPECT_TRUE(tasks("req-2").empty());
+}
+
 // The leader's own commits are in its copy before what others committed earlier: a release may have
 // been applied just before this controller cancelled its job.
 TEST_F(ReleaseOutcomeTest, AnOwnCommitOfTheJobDoesNotHideTheReleaseThatCameBefore) {
