--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -124,6 +124,27 @@
 
 }  // namespace
 
+CommitResult parse_commit_reply(const HttpReply& reply) {
+  CommitResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome != Outcome::done && result.outcome != Outcome::conflict) return result;
+  // Without its revision an answer can't be waited for in the records: it settles nothing.
+  json::Document doc;
+  const auto revision =
+      json::parse(doc, reply.body) ? json::count(doc, "ledger_rev") : std::nullopt;
+  if (!revision) {
+    result.outcome = Outcome::unknown;
+    return result;
+  }
+  result.revision = Revision(*revision);
+  if (const json::Value* failed = json::list(doc, "failed")) {
+    for (const auto& key : failed->GetArray()) {
+      if (key.IsString()) result.failed.emplace_back(key.GetString());
+    }
+  }
+  return result;
+}
+
 StoreClient::StoreClient(Loop& loop, const Clock& clock, const Address& at, StoreLimits limits)
     : metrics_(loop.metrics()),
       clock_(clock),
@@ -306,45 +327,27 @@
           });
 }
 
-// Not split yet, issue 17.
-// NOLINTNEXTLINE(readability-function-cognitive-complexity)
-void StoreClient::commit(RequestPriority rank, Txn txn, std::function<void(CommitResult)> then) {
-  const auto writes = static_cast<double>(txn.puts.size() + txn.deletes.size());
+void StoreClient::warn_if_too_large(const Txn& txn) const {
   for (const Put& put : txn.puts) {
     if (put.value.size() <= limits_.value_bytes) continue;
     spdlog::error("state service: {} takes {} bytes, more than the limit", put.key,
                   put.value.size());
   }
+}
+
+void StoreClient::commit(RequestPriority rank, Txn txn, std::function<void(CommitResult)> then) {
+  warn_if_too_large(txn);
   std::vector<std::string> kinds;
   for (const Put& put : txn.puts) kinds.push_back("put " + kind_of(put.key));
   for (const auto& key : txn.deletes) kinds.push_back("delete " + kind_of(key));
+  const auto writes = static_cast<double>(kinds.size());
   enqueue(rank, {EVHTTP_REQ_POST, "/commit", write_txn(txn), "application/json", kDeadline}, writes,
           [this, kinds = std::move(kinds), then = std::move(then)](const HttpReply& reply) {
-            CommitResult result;
-            result.outcome = outcome_of(reply);
+            CommitResult result = parse_commit_reply(reply);
             if (result.outcome == Outcome::conflict) metrics_.count("conflicts");
             if (result.outcome == Outcome::done) {
               for (const std::string& kind : kinds) metrics_.count(kind);
             }
-            if (reply.status != 200 && reply.status != 409) {
-              then(std::move(result));
-              return;
-            }
-            // Without its revision an answer can't be waited for in the records: it settles
-            // nothing.
-            json::Document doc;
-            const auto revision =
-                json::parse(doc, reply.body) ? json::count(doc, "ledger_rev") : std::nullopt;
-            if (!revision) {
-              result.outcome = Outcome::unknown;
-            } else {
-              result.revision = Revision(*revision);
-              if (const json::Value* failed = json::list(doc, "failed")) {
-                for (const auto& key : failed->GetArray()) {
-                  if (key.IsString()) result.failed.emplace_back(key.GetString());
-                }
-              }
-            }
             then(std::move(result));
           });
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -114,6 +114,9 @@
   [[nodiscard]] virtual double write_slack() = 0;
 };
 
+/// What the service's reply to a commit says; `unknown` for one that can't be read.
+CommitResult parse_commit_reply(const HttpReply& reply);
+
 class StoreClient : public Store {
  public:
   StoreClient(Loop& loop, const Clock& clock, const Address& at, StoreLimits limits);
@@ -137,6 +140,7 @@
     HttpHandler then;
     int again = 0;  // how often it may be repeated when the service is over its rate
   };
+  void warn_if_too_large(const Txn& txn) const;
   void send(Job job);
   void enqueue(RequestPriority rank, HttpCall call, double writes, HttpHandler then);
   void pump();
--- /dev/null
+++ b/tests/commit_reply_test.cpp
@@ -0,0 +1,43 @@
+// What a reply to a commit says of its outcome.
+#include <gtest/gtest.h>
+
+#include "store/client.hpp"
+
+namespace marblevale {
+namespace {
+
+CommitResult parse(int status, const std::string& body, bool never_sent = false) {
+  return parse_commit_reply({status, never_sent, body});
+}
+
+TEST(CommitReply, ADefiniteAnswerNamesItsRevision) {
+  const CommitResult done = parse(200, R"({"ledger_rev":432})");
+  EXPECT_EQ(done.outcome, Outcome::done);
+  EXPECT_EQ(done.revision, Revision(432));
+  const CommitResult conflict = parse(409, R"({"failed":["a/b"],"ledger_rev":431})");
+  EXPECT_EQ(conflict.outcome, Outcome::conflict);
+  EXPECT_EQ(conflict.revision, Revision(431));
+  EXPECT_EQ(conflict.failed, std::vector<std::string>{"a/b"});
+}
+
+// Whoever waits for the records to reach the answer's revision would take a revision of 0 for
+// reached.
+TEST(CommitReply, AnAnswerWithoutARevisionSettlesNothing) {
+  for (const int status : {200, 409}) {
+    for (const std::string body : {"", "nonsense", "{}", R"({"ledger_rev":null})"}) {
+      EXPECT_EQ(parse(status, body).outcome, Outcome::unknown) << status << " " << body;
+    }
+  }
+}
+
+TEST(CommitReply, OnlyWhatWasSurelyNotExecutedIsRefused) {
+  EXPECT_EQ(parse(0, "", true).outcome, Outcome::refused) << "it was never sent";
+  EXPECT_EQ(parse(0, "").outcome, Outcome::unknown) << "no response";
+  EXPECT_EQ(parse(429, "").outcome, Outcome::refused);
+  EXPECT_EQ(parse(503, "").outcome, Outcome::refused);
+  EXPECT_EQ(parse(500, "").outcome, Outcome::unknown);
+  EXPECT_EQ(parse(400, R"({"error":"no such lease"})").outcome, Outcome::lease_expired);
+}
+
+}  // namespace
+}  // namespace marblevale
