--- a/src/planner/open_releases.cpp
+++ b/src/planner/open_releases.cpp
@@ -148,8 +148,14 @@
 }
 
 void OpenReleases::refuse(ReleaseId id, Release& release, const char* why, SteadyTime now) {
-  const std::uint32_t doublings = std::min(release.refusals++, kMaxPauseDoublings);
-  release.next_at = now + kRefusedPause * static_cast<double>(1U << doublings);
+  if (release.offer_open) {
+    // The holder may be about to bind it; where writes are short, quick repeats only lengthen the
+    // queue.
+    release.next_at = now + kOfferTimeout;
+  } else {
+    const std::uint32_t doublings = std::min(release.refusals++, kMaxPauseDoublings);
+    release.next_at = now + kRefusedPause * static_cast<double>(1U << doublings);
+  }
   const bool open = release.offer_open || release.commit_open;
   transition(id, release, open ? State::unknown : State::refused, why);
 }
