A copy of an offer gets the answer of the first

The holder remembers what it answered; what it can't know (forgotten, or meant for an earlier life) counts as taken, and the leader then commits the release itself.

--- a/src/blocks/answered_offers.cpp
+++ b/src/blocks/answered_offers.cpp
@@ -2,19 +2,27 @@
 
 namespace marblevale {
 
-bool AnsweredOffers::insert(std::uint64_t term, std::uint64_t serial) {
-  if (term < term_) return false;
+std::optional<AnsweredOffers::Answer> AnsweredOffers::find(std::uint64_t term,
+                                                           std::uint64_t serial) const {
+  if (term > term_) return std::nullopt;
+  if (term < term_ || serial <= forgotten_up_to_) return Answer::taken;
+  const auto it = answers_.find(serial);
+  if (it == answers_.end()) return std::nullopt;
+  return it->second;
+}
+
+void AnsweredOffers::remember(std::uint64_t term, std::uint64_t serial, Answer answer) {
+  if (term < term_) return;
   if (term > term_) {
     term_ = term;
     forgotten_up_to_ = 0;
-    serials_.clear();
+    answers_.clear();
   }
-  if (serial <= forgotten_up_to_ || !serials_.insert(serial).second) return false;
-  while (serials_.size() > kMaxRemembered) {
-    forgotten_up_to_ = *serials_.begin();
-    serials_.erase(serials_.begin());
+  answers_[serial] = answer;
+  while (answers_.size() > kMaxRemembered) {
+    forgotten_up_to_ = answers_.begin()->first;
+    answers_.erase(answers_.begin());
   }
-  return true;
 }
 
 }  // namespace marblevale
--- a/src/blocks/holder.hpp
+++ b/src/blocks/holder.hpp
@@ -31,8 +31,8 @@
 
   void begin();
   ReportAnswer handle_report(std::string_view body) { return reports_.handle(body); }
-  /// Binds what the leader offers, if all of it can be bound here, as soon as this copy has what
-  /// the leader's had; false: nothing was committed, and nothing will be.
+  /// Binds what the leader offers (see `ReleaseOffers::accept`); false: nothing was committed, and
+  /// nothing will be.
   bool accept_offer(const ReleaseOffer& offer) { return offers_.accept(offer); }
 
   /// Zones whose workers come here again and again though another controller holds the block.
--- a/src/blocks/release_offers.cpp
+++ b/src/blocks/release_offers.cpp
@@ -12,12 +12,23 @@
 }  // namespace
 
 bool ReleaseOffers::accept(const ReleaseOffer& offer) {
-  // An earlier life of this controller may have declined it, and can't be asked.
-  if (Nonce(offer.holder_nonce) != blocks_.nonce()) return false;
-  if (!answered_.insert(offer.term, offer.serial)) {
+  const auto& leader = context_.cache.records().leader;
+  if (leader && leader->mod_revision.get() > offer.term) return false;  // its commits fail anyhow
+  // An earlier life of this controller may have taken it, and can't be asked.
+  if (Nonce(offer.holder_nonce) != blocks_.nonce()) return true;
+  if (const auto before = answered_.find(offer.term, offer.serial)) {
+    // To decline a copy while the first one is being bound would have the leader give its room
+    // away.
     context_.metrics.count("copies of offers");
-    return false;
+    return *before == AnsweredOffers::Answer::taken;
   }
+  const bool taken = accept_new(offer);
+  answered_.remember(offer.term, offer.serial,
+                     taken ? AnsweredOffers::Answer::taken : AnsweredOffers::Answer::declined);
+  return taken;
+}
+
+bool ReleaseOffers::accept_new(const ReleaseOffer& offer) {
   if (!context_.cache.ready()) return false;
   const PendingOffer pending{offer, context_.clock.steady()};
   if (context_.cache.revision().get() >= offer.revision) return bind(pending);
--- a/src/blocks/release_offers.hpp
+++ b/src/blocks/release_offers.hpp
@@ -20,8 +20,9 @@
       : context_(context), blocks_(blocks), binder_(binder), commits_(commits) {}
 
   /// Binds what the leader offers, if all of it can be bound here, as soon as this copy has what
-  /// the leader's had; false: nothing was committed, and nothing will be. A copy of an offer is
-  /// refused whatever became of the first, which alone decides.
+  /// the leader's had. False: nothing was committed, and nothing will be. A copy of an offer
+  /// changes nothing and gets the answer of the first; where that isn't known the offer counts as
+  /// taken, and the leader commits the release itself when no binding shows.
   bool accept(const ReleaseOffer& offer);
   /// Tries again what waited for the cache or the state service.
   void retry();
@@ -34,6 +35,7 @@
     SteadyTime received_at;
   };
 
+  bool accept_new(const ReleaseOffer& offer);
   bool bind(const PendingOffer& pending);
   /// Whether the offer was made from the records that this copy has; what it lacks or has beyond
   /// the leader's, the guards would refuse as well.
--- a/src/peers/offers.hpp
+++ b/src/peers/offers.hpp
@@ -6,7 +6,7 @@
 //
 // A message can come twice. What was declined must stay declined, or the leader, which gives its
 // room to another job, would see it bound later: so an offer names the life of the holder that it
-// is meant for and bears a serial of its own, and each serial is answered once.
+// is meant for and bears a serial of its own, and a copy gets the answer of the first.
 #pragma once
 
 #include <functional>
