--- /dev/null
+++ b/src/store/record_fields.hpp
@@ -0,0 +1,57 @@
+// Reading the fields of stored records, shared by their codecs.
+#pragma once
+
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include "core/time.hpp"
+#include "wire/json.hpp"
+
+namespace marblevale::record_fields {
+
+/// The format of the records that have never had another.
+inline constexpr std::uint64_t kFormat = 1;
+
+inline bool known_format(const json::Value& v) { return json::count(v, "v") == kFormat; }
+
+/// Reads a text or a count into its strong type; false when the field is absent or of another type.
+template <typename S>
+bool read(const json::Value& v, const char* name, S& out) {
+  if constexpr (std::is_same_v<std::decay_t<decltype(out.get())>, std::string>) {
+    const auto text = json::text(v, name);
+    if (text) out = S(*text);
+    return text.has_value();
+  } else {
+    const auto n = json::count(v, name);
+    if (n) out = S(*n);
+    return n.has_value();
+  }
+}
+
+/// Reads a time of day in milliseconds.
+inline bool read(const json::Value& v, const char* name, WallTime& out) {
+  const auto ms = json::integer(v, name);
+  if (ms) out = {*ms};
+  return ms.has_value();
+}
+
+/// Reads a list of texts.
+inline bool read_texts(const json::Value& v, const char* name, std::vector<std::string>& out) {
+  const json::Value* list = json::list(v, name);
+  if (list == nullptr) return false;
+  for (const auto& item : list->GetArray()) {
+    if (!item.IsString()) return false;
+    out.emplace_back(item.GetString());
+  }
+  return true;
+}
+
+inline void write_texts(json::Writer& out, const char* name,
+                        const std::vector<std::string>& texts) {
+  out.key(name).open_list();
+  for (const std::string& text : texts) out.value(text);
+  out.close_list();
+}
+
+}  // namespace marblevale::record_fields
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -161,6 +161,9 @@
 };
 inline constexpr std::uint64_t kPageMachines = 24;
 
+/// Images that a machine's record lists at the most.
+inline constexpr std::size_t kMaxImages = 24;
+
 /// Notes that the image was used: the latest last, the oldest dropped beyond `cache_gb`. False when
 /// it was in the list.
 bool note_image(std::vector<std::pair<ImageId, double>>& images, const ImageId& image, double gb,
