Records fit the announced limits of the state service, and stay readable for production

Cause: cluster.state.next announces values of 2 KiB and 5 or 8 changes a transaction; a slice of 64 tasks or a page of 24 machines is larger in its plain form, and would have been stuck for good. Change: transactions are built within both limits from the start. Slices and pages keep the plain form, which production reads, until a large value is refused or a compact record is seen; from then on what does not fit is written in a compact form, and only while each living controller says in its node record that it reads it. Notes give way in grants and final records. A release of unknown outcome is written anew at each repeat, since a refusal for size would otherwise repeat for ever.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -172,15 +172,42 @@
   return times;
 }
 
+/// A number of at least 1; what is absent is `standard`.
+std::size_t count(const toml::table& t, const std::string& prefix, const char* name,
+                  std::optional<std::size_t> standard) {
+  if (!t.contains(name) && standard) return *standard;
+  const double v = number(t, prefix, name);
+  if (v < 1) fail(join(prefix, name), "must be at least 1");
+  return static_cast<std::size_t>(v);
+}
+
+std::size_t value_bytes(const toml::table& t, const std::string& prefix,
+                        std::optional<std::size_t> standard) {
+  constexpr double kBytesPerKib = 1024;
+  if (!t.contains("value_kb") && standard) return *standard;
+  return static_cast<std::size_t>(positive(t, prefix, "value_kb") * kBytesPerKib);
+}
+
+AnnouncedLimits read_announced_limits(const toml::table& state, const StoreLimits& now) {
+  const auto& announced = table(state, "cluster.state", "next");
+  const std::string at = "cluster.state.next";
+  AnnouncedLimits next{now.rps, now.write_rps, now.value_bytes, now.txn_ops};
+  if (announced.contains("rps")) next.rps = positive(announced, at, "rps");
+  if (announced.contains("write_rps")) next.write_rps = positive(announced, at, "write_rps");
+  next.value_bytes = value_bytes(announced, at, now.value_bytes);
+  next.txn_ops = count(announced, at, "txn_ops", now.txn_ops);
+  return next;
+}
+
 StoreLimits read_store_limits(const toml::table& cluster, std::size_t nodes) {
   const auto& state = table(cluster, "cluster", "state");
   StoreLimits limits;
   limits.rps = positive(state, "cluster.state", "rps");
   limits.write_rps = positive(state, "cluster.state", "write_rps");
-  limits.value_bytes =
-      static_cast<std::size_t>(positive(state, "cluster.state", "value_kb") * 1024);
+  limits.value_bytes = value_bytes(state, "cluster.state", std::nullopt);
   limits.nodes = nodes;
-  limits.txn_ops = static_cast<std::size_t>(positive(state, "cluster.state", "txn_ops"));
+  limits.txn_ops = count(state, "cluster.state", "txn_ops", std::nullopt);
+  if (state.contains("next")) limits.next = read_announced_limits(state, limits);
   return limits;
 }
 
--- a/src/blocks/release_offers.cpp
+++ b/src/blocks/release_offers.cpp
@@ -103,7 +103,7 @@
   for (const ZoneId& zone : zones) blocks_.guard(txn, zone);
   txn.guard(keys::job(key.first), records.jobs.at(key.first).mod_revision);
   txn.guard(keys::slice(key.first, key.second), ModRevision(offer.over));
-  txn.put(keys::slice(key.first, key.second), encode(slice));
+  txn.put(keys::slice(key.first, key.second), encode(slice, context_.cache.record_size()));
   return txn;
 }
 
--- a/src/blocks/task_lifecycle.cpp
+++ b/src/blocks/task_lifecycle.cpp
@@ -223,10 +223,11 @@
   const bool job_is_done = slice_count(job.record.spec) == 1 && change.slice.all_done();
   if (job_is_done) {
     // The leader removes the slice and the grant when there is budget to spare.
-    txn.put(keys::final_job(key.first), encode(final_record(key.first, job.record)))
+    txn.put(keys::final_job(key.first),
+            encode(final_record(key.first, job.record), context_.cache.lasting_value_bytes()))
         .remove(keys::job(key.first));
   } else {
-    txn.put(keys::slice(key.first, key.second), encode(change.slice));
+    txn.put(keys::slice(key.first, key.second), encode(change.slice, context_.cache.record_size()));
   }
   return txn;
 }
--- a/src/election/election.cpp
+++ b/src/election/election.cpp
@@ -125,8 +125,8 @@
   // Guarded by what is there, so that a late copy from an earlier life can't replace it.
   txn.guard(keys::node(settings_.node),
             mine == nodes.end() ? ModRevision{} : mine->second.mod_revision);
-  txn.put(keys::node(settings_.node), encode(NodeRecord{settings_.node, nonce_, block_lease_id_}),
-          session_);
+  txn.put(keys::node(settings_.node),
+          encode(NodeRecord{settings_.node, nonce_, block_lease_id_, kReadsForms}), session_);
   cache_.commit(RequestPriority::lease, std::move(txn), [this](const CommitResult& r) {
     announcing_ = false;
     consider_timer_.start(r.outcome == Outcome::done ? Duration{0} : backoff_.next(random_));
--- a/src/planner/grant_writer.cpp
+++ b/src/planner/grant_writer.cpp
@@ -51,7 +51,7 @@
   const auto& records = cache_.records();
   Txn txn;
   election_.guard(txn);
-  const std::size_t most = std::max<std::size_t>(1, settings_.store.txn_ops / 2);
+  const std::size_t most = std::max<std::size_t>(1, settings_.store.max_operations() / 2);
   std::unordered_map<JobId, std::vector<Note>> going;
   std::set<JobId> due;
   // A job that begins at once is told by its slice; a guarantee that moves is written now and then.
@@ -99,7 +99,7 @@
     txn.guard(keys::job(job_id), job->second.mod_revision);
     txn.guard(keys::grant(job_id),
               stored == records.grants.end() ? ModRevision{} : stored->second.mod_revision);
-    txn.put(keys::grant(job_id), encode(grant));
+    txn.put(keys::grant(job_id), encode(std::move(grant), cache_.lasting_value_bytes()));
   }
   if (txn.puts.empty()) return;
   writing_ = true;
--- a/src/planner/job_cleanup.cpp
+++ b/src/planner/job_cleanup.cpp
@@ -83,7 +83,8 @@
   election_.guard(txn);
   txn.guard(keys::job(job_id), job.mod_revision);
   // Its slices and its grant are swept up afterwards.
-  txn.put(keys::final_job(job_id), encode(record)).remove(keys::job(job_id));
+  txn.put(keys::final_job(job_id), encode(std::move(record), cache_.lasting_value_bytes()))
+      .remove(keys::job(job_id));
   cache_.commit(RequestPriority::granting, std::move(txn),
                 [this, job_id](const CommitResult&) { ending_.erase(job_id); });
 }
@@ -130,14 +131,14 @@
   Txn txn;
   election_.guard(txn);
   for (const auto& [key, slice] : records.slices) {
-    if (txn.deletes.size() >= settings_.store.txn_ops) break;
+    if (txn.deletes.size() >= settings_.store.max_operations()) break;
     if (!over(key.first)) continue;
     txn.guard(keys::job(key.first), ModRevision{});
     txn.guard(keys::slice(key.first, key.second), slice.mod_revision);
     txn.remove(keys::slice(key.first, key.second));
   }
   for (const auto& [job_id, grant] : records.grants) {
-    if (txn.deletes.size() >= settings_.store.txn_ops) break;
+    if (txn.deletes.size() >= settings_.store.max_operations()) break;
     if (!over(job_id)) continue;
     txn.guard(keys::job(job_id), ModRevision{});
     txn.guard(keys::grant(job_id), grant.mod_revision).remove(keys::grant(job_id));
--- a/src/planner/open_releases.cpp
+++ b/src/planner/open_releases.cpp
@@ -114,12 +114,19 @@
   release.state = next;
 }
 
-Txn OpenReleases::mark_sent(ReleaseId id) {
+Txn OpenReleases::mark_sent(ReleaseId id, const RecordSize& size) {
   Release& release = open_.at(id);
   const bool repeated = release.commit_open || release.offer_open;
   if (repeated) ++release.repeats;
   transition(id, release, State::sent, repeated ? "sent again" : "sent");
-  return release.txn;
+  Txn txn = release.txn;
+  for (const GuardedSlice& slice : release.slices) {
+    const std::string key = keys::slice(slice.key.first, slice.key.second);
+    for (Put& put : txn.puts) {
+      if (put.key == key) put.value = encode(slice.after, size);
+    }
+  }
+  return txn;
 }
 
 void OpenReleases::on_commit_answer(ReleaseId id, const CommitResult& result, SteadyTime now) {
--- a/src/planner/open_releases.hpp
+++ b/src/planner/open_releases.hpp
@@ -61,8 +61,9 @@
   ReleaseId add_offer(const SliceChangeRequest& request, const Records& records,
                       const NodeId& holder, SteadyTime now);
 
-  /// The commit is about to be sent; what is to be sent.
-  Txn mark_sent(ReleaseId id);
+  /// The commit is about to be sent; what is to be sent. Its slices are written anew each time: the
+  /// state service may take less than when the change was decided, and would refuse it for ever.
+  Txn mark_sent(ReleaseId id, const RecordSize& size);
   /// The answer to a commit of this change; of one that is settled it says nothing new.
   void on_commit_answer(ReleaseId id, const CommitResult& result, SteadyTime now);
   /// The holder declined this offer, and remembers that: no copy of it will be bound.
--- a/src/planner/releaser.cpp
+++ b/src/planner/releaser.cpp
@@ -69,7 +69,7 @@
 }
 
 void Releaser::send(ReleaseId id) {
-  cache_.commit(RequestPriority::binding, open_.mark_sent(id), [this, id](const CommitResult& r) {
+  cache_.commit(RequestPriority::binding, open_.mark_sent(id, cache_.record_size()), [this, id](const CommitResult& r) {
     open_.on_commit_answer(id, r, clock_.steady());
     events_.answered();
   });
@@ -95,7 +95,7 @@
   SliceChangeRequest request{SliceChangeRequest::Kind::stop, {}, {slice}};
   election_.guard(request.txn);
   request.txn.guard(keys::slice(key.first, key.second), stored->mod_revision);
-  request.txn.put(keys::slice(key.first, key.second), encode(slice));
+  request.txn.put(keys::slice(key.first, key.second), encode(slice, cache_.record_size()));
   commit(request);
   return true;
 }
@@ -216,7 +216,7 @@
     const std::string key = keys::slice(job.job_id, number);
     request.slices.push_back(released_slice(job, number, start, planner));
     request.txn.guard(key, stored == nullptr ? ModRevision{} : stored->mod_revision);
-    request.txn.put(key, encode(request.slices.back()));
+    request.txn.put(key, encode(request.slices.back(), cache_.record_size()));
   }
   return request;
 }
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "wire/json.hpp"
 
 namespace marblevale {
@@ -124,6 +126,21 @@
 
 }  // namespace
 
+std::size_t StoreLimits::max_operations() const {
+  return next ? std::min(txn_ops, next->txn_ops) : txn_ops;
+}
+
+std::size_t StoreLimits::lasting_value_bytes() const {
+  return next ? std::min(value_bytes, next->value_bytes) : value_bytes;
+}
+
+bool exceeds_announced(const Txn& txn, const StoreLimits& limits) {
+  if (!limits.next) return false;
+  return std::any_of(txn.puts.begin(), txn.puts.end(), [&](const Put& put) {
+    return put.value.size() > limits.next->value_bytes && put.value.size() <= limits.value_bytes;
+  });
+}
+
 CommitResult parse_commit_reply(const HttpReply& reply) {
   CommitResult result;
   result.outcome = outcome_of(reply);
@@ -335,15 +352,38 @@
   }
 }
 
+void StoreClient::lower_limits(const char* evidence) {
+  if (!limits_.next) return;
+  const AnnouncedLimits lower = *limits_.next;
+  limits_.next.reset();
+  spdlog::warn(
+      "state service: the announced limits are in force ({}): {} requests and {} changes a second, "
+      "values up to {} bytes, {} changes a transaction",
+      evidence, lower.rps, lower.write_rps, lower.value_bytes, lower.txn_ops);
+  limits_.rps = std::min(limits_.rps, lower.rps);
+  limits_.write_rps = std::min(limits_.write_rps, lower.write_rps);
+  limits_.value_bytes = std::min(limits_.value_bytes, lower.value_bytes);
+  limits_.txn_ops = std::min(limits_.txn_ops, lower.txn_ops);
+  requests_.set_rate(std::min(requests_.rate(), equal_share(limits_.rps)));
+  writes_.set_rate(std::min(writes_.rate(), equal_share(limits_.write_rps)));
+  submissions_.set_rate(limits_.write_rps * kSubmissionShare);
+}
+
 void StoreClient::commit(RequestPriority rank, Txn txn, std::function<void(CommitResult)> then) {
   warn_if_too_large(txn);
+  const bool tells_of_limits = exceeds_announced(txn, limits_);
   std::vector<std::string> kinds;
   for (const Put& put : txn.puts) kinds.push_back("put " + kind_of(put.key));
   for (const auto& key : txn.deletes) kinds.push_back("delete " + kind_of(key));
   const auto writes = static_cast<double>(kinds.size());
   enqueue(rank, {EVHTTP_REQ_POST, "/commit", write_txn(txn), "application/json", kDeadline}, writes,
-          [this, kinds = std::move(kinds), then = std::move(then)](const HttpReply& reply) {
+          [this, tells_of_limits, kinds = std::move(kinds),
+           then = std::move(then)](const HttpReply& reply) {
             CommitResult result = parse_commit_reply(reply);
+            if (reply.status == 400 && tells_of_limits) {
+              lower_limits("a value was refused that the earlier ones allowed");
+              result.outcome = Outcome::refused;
+            }
             if (result.outcome == Outcome::conflict) metrics_.count("conflicts");
             if (result.outcome == Outcome::done) {
               for (const std::string& kind : kinds) metrics_.count(kind);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -85,12 +85,27 @@
   LeaseId lease_id;
 };
 
+/// Limits that the state service announces: from some moment on, without notice, they are in
+/// force.
+struct AnnouncedLimits {
+  double rps = 100;
+  double write_rps = 50;
+  std::size_t value_bytes = 8192;
+  std::size_t txn_ops = 16;
+};
+
 struct StoreLimits {
   double rps = 100;
   double write_rps = 50;
   std::size_t value_bytes = 8192;
   std::size_t txn_ops = 16;
   std::size_t nodes = 3;  // that share the rates
+  std::optional<AnnouncedLimits> next;
+
+  /// Puts and deletes of one transaction, now and under the announced limits.
+  [[nodiscard]] std::size_t max_operations() const;
+  /// Bytes of one value that fit now and under the announced limits.
+  [[nodiscard]] std::size_t lasting_value_bytes() const;
 };
 
 /// Classes of requests, the most important first. Submissions go before bindings, within a share.
@@ -109,7 +124,10 @@
                      std::function<void(WatchResult)> then) = 0;
   virtual void create_lease(Duration ttl, std::function<void(LeaseResult)> then) = 0;
   virtual void renew_lease(LeaseId lease_id, std::function<void(LeaseResult)> then) = 0;
+  /// What is in force; changes when the announced limits come.
   [[nodiscard]] virtual const StoreLimits& limits() const = 0;
+  /// The announced limits are in force, by something other than an own refused commit.
+  virtual void lower_limits(const char* evidence) = 0;
   /// How much of the budget for writes is to spare, from 0 to 1.
   [[nodiscard]] virtual double write_slack() = 0;
 };
@@ -117,6 +135,10 @@
 /// What the service's reply to a commit says; `unknown` for one that can't be read.
 CommitResult parse_commit_reply(const HttpReply& reply);
 
+/// True when a value of the transaction is larger than the announced limit and still within
+/// `limits`: a refusal by 400 then says that the announced limits are in force.
+bool exceeds_announced(const Txn& txn, const StoreLimits& limits);
+
 class StoreClient : public Store {
  public:
   StoreClient(Loop& loop, const Clock& clock, const Address& at, StoreLimits limits);
@@ -130,6 +152,7 @@
   void create_lease(Duration ttl, std::function<void(LeaseResult)> then) override;
   void renew_lease(LeaseId lease_id, std::function<void(LeaseResult)> then) override;
   [[nodiscard]] const StoreLimits& limits() const override { return limits_; }
+  void lower_limits(const char* evidence) override;
   [[nodiscard]] double write_slack() override;
 
  private:
--- a/src/store/machine_page_codec.cpp
+++ b/src/store/machine_page_codec.cpp
@@ -1,16 +1,22 @@
 // The codec of machine pages.
 #include <algorithm>
+#include <cmath>
 
+#include "store/compact_encoding.hpp"
 #include "store/record_fields.hpp"
 #include "store/records.hpp"
 
 namespace marblevale {
 
 using record_fields::read;
+using record_fields::read_texts;
 
 namespace {
 
 constexpr std::uint64_t kPageFormat = 2;  // 1 was one record for each machine
+constexpr std::uint64_t kCompactPageFormat = 3;
+/// Sizes of images are kept to this in the compact form.
+constexpr double kImageGbStep = 0.01;
 
 constexpr std::array<const char*, 7> kMachineStates{
     "up", "silent", "suspect", "quarantined", "draining", "deleting", "gone"};
@@ -61,27 +67,204 @@
   return true;
 }
 
+std::string encode_plain(const MachinePage& page, std::size_t images) {
+  json::Writer out;
+  out.open().put("v", kPageFormat).key("m").open_list();
+  for (const MachineRecord& machine : page.machines) write_machine(out, machine, images);
+  out.close_list().close();
+  return out.str();
+}
+
+template <typename Item>
+std::uint64_t index_in(std::vector<Item>& list, const Item& item) {
+  const auto it = std::find(list.begin(), list.end(), item);
+  const auto index = static_cast<std::uint64_t>(it - list.begin());
+  if (it == list.end()) list.push_back(item);
+  return index;
+}
+
+/// Which fields of a machine follow those that all have, in the compact form.
+enum MachineField : std::uint64_t {
+  kIsSpot = 8,  // the three lowest bits are the state
+  kHasReclaim = 16,
+  kHasBlamed = 32,
+};
+constexpr std::uint64_t kStateBits = 7;
+
+/// How much of a page the compact form keeps.
+struct CompactDetail {
+  std::size_t images;  // of each machine
+  bool blamed;
+};
+
+/// A page in the compact form: texts once each, the machines as numbers.
+class CompactPageWriter {
+ public:
+  explicit CompactPageWriter(const MachinePage& page) {
+    for (const MachineRecord& machine : page.machines) {
+      if (base_ == 0 || machine.since.ms < base_) base_ = machine.since.ms;
+    }
+  }
+
+  void write(const MachineRecord& r, const CompactDetail& detail) {
+    const bool blamed = detail.blamed && r.blamed != JobId{};
+    std::uint64_t head = static_cast<std::uint64_t>(r.state);
+    if (r.spot) head |= kIsSpot;
+    if (r.reclaim_at) head |= kHasReclaim;
+    if (blamed) head |= kHasBlamed;
+    bytes_.put(head);
+    bytes_.put(names_.number_of(r.machine_id.get()));
+    bytes_.put(index_in(texts_, r.machine_type));
+    bytes_.put(index_in(texts_, r.zone.get()));
+    bytes_.put_signed(r.since.ms - base_);
+    if (r.reclaim_at) bytes_.put_signed(r.reclaim_at->ms - base_);
+    if (blamed) bytes_.put(index_in(texts_, r.blamed.get()));
+    write_images(r, detail.images);
+    addresses_.push_back(r.address);
+  }
+
+  [[nodiscard]] std::string finish() const {
+    json::Writer out;
+    out.open().put("v", kCompactPageFormat).put("base", base_).put("m", bytes_.base64());
+    out.put("host", names_.prefix()).put("digits", names_.digits());
+    record_fields::write_texts(out, "hosts", names_.others());
+    record_fields::write_texts(out, "at", addresses_);
+    record_fields::write_texts(out, "texts", texts_);
+    out.key("gb").open_list();
+    for (const double gb : image_gb_) out.value(gb);
+    out.close_list().close();
+    return out.str();
+  }
+
+ private:
+  void write_images(const MachineRecord& r, std::size_t most) {
+    const std::size_t count = std::min(most, r.images.size());
+    bytes_.put(count);
+    for (std::size_t i = r.images.size() - count; i < r.images.size(); ++i) {
+      const double gb = std::round(r.images[i].second / kImageGbStep) * kImageGbStep;
+      bytes_.put(index_in(texts_, r.images[i].first.get()));
+      bytes_.put(index_in(image_gb_, gb));
+    }
+  }
+
+  std::int64_t base_ = 0;
+  ByteWriter bytes_;
+  MachineNames names_;
+  std::vector<std::string> addresses_;
+  std::vector<std::string> texts_;  // types, zones, images and jobs
+  std::vector<double> image_gb_;
+};
+
+std::string encode_compact(const MachinePage& page, const CompactDetail& detail) {
+  CompactPageWriter out(page);
+  for (const MachineRecord& machine : page.machines) out.write(machine, detail);
+  return out.finish();
+}
+
+/// Reads what a `CompactPageWriter` wrote.
+class CompactPageReader {
+ public:
+  bool open(const json::Value& v) {
+    const auto machines = json::text(v, "m");
+    const auto base = json::integer(v, "base");
+    const auto prefix = json::text(v, "host");
+    const auto digits = json::count(v, "digits");
+    const json::Value* image_gb = json::list(v, "gb");
+    std::vector<std::string> others;
+    if (!machines || !base || !prefix || !digits || image_gb == nullptr ||
+        !read_texts(v, "hosts", others) || !read_texts(v, "at", addresses_) ||
+        !read_texts(v, "texts", texts_)) {
+      return false;
+    }
+    for (const auto& gb : image_gb->GetArray()) {
+      if (!gb.IsNumber()) return false;
+      image_gb_.push_back(gb.GetDouble());
+    }
+    base_ = *base;
+    names_ = MachineNames(*prefix, *digits, std::move(others));
+    bytes_ = ByteReader(*machines);
+    return true;
+  }
+
+  bool read_machines(std::vector<MachineRecord>& out) {
+    for (const std::string& address : addresses_) {
+      MachineRecord machine;
+      machine.address = address;
+      if (!read_machine(machine)) return false;
+      out.push_back(std::move(machine));
+    }
+    return true;
+  }
+
+ private:
+  bool read_machine(MachineRecord& out) {
+    const std::uint64_t head = bytes_.number();
+    const std::uint64_t state = head & kStateBits;
+    if (state >= kMachineStates.size()) return false;
+    out.state = static_cast<MachineState>(state);
+    out.spot = (head & kIsSpot) != 0;
+    const auto name = names_.name_of(bytes_.number());
+    if (!name || !read_text(out.machine_type) || !read_text(out.zone)) return false;
+    out.machine_id = MachineId(*name);
+    out.since = WallTime{base_ + bytes_.signed_number()};
+    if ((head & kHasReclaim) != 0) out.reclaim_at = WallTime{base_ + bytes_.signed_number()};
+    if ((head & kHasBlamed) != 0 && !read_text(out.blamed)) return false;
+    return read_images(out) && bytes_.ok();
+  }
+  bool read_images(MachineRecord& out) {
+    const std::uint64_t count = bytes_.number();
+    if (count > kMaxImages) return false;
+    for (std::uint64_t i = 0; i < count; ++i) {
+      ImageId image;
+      if (!read_text(image)) return false;
+      const std::uint64_t gb = bytes_.number();
+      if (gb >= image_gb_.size()) return false;
+      out.images.emplace_back(image, image_gb_[gb]);
+    }
+    return true;
+  }
+  template <typename Text>
+  bool read_text(Text& out) {
+    const std::uint64_t index = bytes_.number();
+    if (!bytes_.ok() || index >= texts_.size()) return false;
+    out = Text(texts_[index]);
+    return true;
+  }
+
+  std::int64_t base_ = 0;
+  ByteReader bytes_{""};
+  MachineNames names_;
+  std::vector<std::string> addresses_;
+  std::vector<std::string> texts_;
+  std::vector<double> image_gb_;
+};
+
 }  // namespace
 
 const char* name_of(MachineState state) {
   return kMachineStates.at(static_cast<std::size_t>(state));
 }
 
-std::string encode(const MachinePage& page, std::size_t most) {
-  std::string text;
-  for (std::size_t images = kMaxImages + 1; images-- > 0;) {
-    json::Writer out;
-    out.open().put("v", kPageFormat).key("m").open_list();
-    for (const MachineRecord& machine : page.machines) write_machine(out, machine, images);
-    out.close_list().close();
-    text = out.str();
-    if (text.size() <= most) break;
-    images = std::min(images, kMaxImages / 2);
+std::string encode(const MachinePage& page, const RecordSize& size) {
+  std::string text = encode_plain(page, kMaxImages);
+  for (std::size_t images = kMaxImages / 2; text.size() > size.max_bytes; --images) {
+    text = size.compact_allowed ? encode_compact(page, {images, true}) : encode_plain(page, images);
+    if (images == 0) break;
+  }
+  if (text.size() > size.max_bytes && size.compact_allowed) {
+    // Whom a suspect machine's tasks blame is in their slices as well.
+    text = encode_compact(page, {0, false});
   }
   return text;
 }
 
+bool is_compact_page(const json::Value& v) { return json::count(v, "v") == kCompactPageFormat; }
+
 bool decode(const json::Value& v, MachinePage& out) {
+  if (is_compact_page(v)) {
+    CompactPageReader reader;
+    return reader.open(v) && reader.read_machines(out.machines);
+  }
   const json::Value* machines = json::list(v, "m");
   if (json::count(v, "v") != kPageFormat || machines == nullptr) return false;
   for (const auto& item : machines->GetArray()) {
--- a/src/store/machine_writer.cpp
+++ b/src/store/machine_writer.cpp
@@ -53,7 +53,7 @@
   if (page.machines.empty()) {
     txn.remove(key);
   } else {
-    txn.put(key, encode(page, cache_.value_bytes()));
+    txn.put(key, encode(page, cache_.record_size()));
   }
   writing_.insert(key);
   cache_.commit(rank_, std::move(txn), [this, key, changes](const CommitResult& result) {
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -108,11 +108,13 @@
       .put("node", r.node.get())
       .put("nonce", r.nonce.get())
       .put("permit", r.block_lease_id.get())
+      .put("reads", r.reads_forms)
       .close();
   return out.str();
 }
 
 bool decode(const json::Value& v, NodeRecord& out) {
+  out.reads_forms = json::count(v, "reads").value_or(1);
   return known_format(v) && read(v, "node", out.node) && read(v, "nonce", out.nonce) &&
          read(v, "permit", out.block_lease_id);
 }
@@ -163,7 +165,21 @@
   out.close_list();
 }
 
-std::string encode(const GrantRecord& r) {
+namespace {
+
+/// Drops notes until the encoded record fits: the oldest first, but the one that tells what was
+/// granted at arrival last.
+template <typename Record, typename Encode>
+std::string encode_with_notes(Record& r, std::size_t max_bytes, const Encode& encode_whole) {
+  std::string text = encode_whole(r);
+  while (text.size() > max_bytes && !r.notes.empty()) {
+    r.notes.erase(r.notes.size() > 1 ? r.notes.begin() + 1 : r.notes.begin());
+    text = encode_whole(r);
+  }
+  return text;
+}
+
+std::string encode_whole(const GrantRecord& r) {
   json::Writer out;
   out.open().put("v", kFormat).put("uid", r.job_id.get()).key("grants").open_list();
   for (const Guarantee& g : r.guarantees) {
@@ -180,6 +196,12 @@
   return out.str();
 }
 
+}  // namespace
+
+std::string encode(GrantRecord r, std::size_t max_bytes) {
+  return encode_with_notes(r, max_bytes, [](const GrantRecord& g) { return encode_whole(g); });
+}
+
 bool decode(const json::Value& v, GrantRecord& out) {
   const json::Value* grants = json::list(v, "grants");
   if (!known_format(v) || grants == nullptr || !read(v, "uid", out.job_id)) return false;
@@ -232,7 +254,9 @@
   return true;
 }
 
-std::string encode(const FinalRecord& r) {
+namespace {
+
+std::string encode_whole(const FinalRecord& r) {
   json::Writer out;
   out.open()
       .put("v", kFormat)
@@ -246,6 +270,12 @@
   return out.str();
 }
 
+}  // namespace
+
+std::string encode(FinalRecord r, std::size_t max_bytes) {
+  return encode_with_notes(r, max_bytes, [](const FinalRecord& f) { return encode_whole(f); });
+}
+
 bool decode(const json::Value& v, FinalRecord& out) {
   const auto state = json::text(v, "state");
   if (!known_format(v) || !state || !read(v, "uid", out.job_id)) return false;
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -33,6 +33,17 @@
 std::string final_job(const JobId& job_id);
 }  // namespace keys
 
+/// What a stored value may take, and in which form a record may be written.
+struct RecordSize {
+  std::size_t max_bytes = 8192;
+  /// The compact forms of slices and machine pages, which versions before 2 can't read. They are
+  /// written only where the plain form does not fit.
+  bool compact_allowed = false;
+};
+
+/// The newest form of records that this version reads: 1 plain, 2 compact as well.
+inline constexpr std::uint64_t kReadsForms = 2;
+
 struct LeaderRecord {
   NodeId node;
   Nonce nonce;
@@ -43,6 +54,7 @@
   NodeId node;
   Nonce nonce;
   LeaseId block_lease_id;
+  std::uint64_t reads_forms = 1;  // absent in the records of versions that read only plain ones
 };
 
 /// Whose block it is. The revision of this record is the block's fencing token.
@@ -195,12 +207,18 @@
 std::string encode(const NodeRecord& r);
 std::string encode(const BlockRecord& r);
 std::string encode(const JobRecord& r);
-std::string encode(const GrantRecord& r);
+/// Notes are left out, the oldest but the first, until the record stays within `max_bytes`.
+std::string encode(GrantRecord r, std::size_t max_bytes);
+/// In the plain form, whatever its size.
 std::string encode(const SliceRecord& r);
-/// Images are left out, the longest unused first, until the page stays within `most` bytes.
-std::string encode(const MachinePage& page, std::size_t most);
+/// In the plain form if it fits, else in the compact one as far as that is allowed.
+std::string encode(const SliceRecord& r, const RecordSize& size);
+/// Images are left out, the longest unused first, until the page fits; where the plain form is too
+/// large without them and the compact one is allowed, that is taken.
+std::string encode(const MachinePage& page, const RecordSize& size);
 std::string encode(const RentalRecord& r);
-std::string encode(const FinalRecord& r);
+/// Notes are left out as in a grant.
+std::string encode(FinalRecord r, std::size_t max_bytes);
 std::string encode(const std::vector<MachineType>& types);
 
 // Each returns false, leaving `out` in an unspecified state, for what this version can't read.
@@ -215,6 +233,10 @@
 bool decode(const json::Value& v, FinalRecord& out);
 bool decode(const json::Value& v, std::vector<MachineType>& out);
 
+/// True for a slice or page in its compact form, which is written only under lowered limits.
+bool is_compact_slice(const json::Value& v);
+bool is_compact_page(const json::Value& v);
+
 void write_notes(json::Writer& out, const std::vector<Note>& notes);
 
 }  // namespace marblevale
--- a/src/store/slice_codec.cpp
+++ b/src/store/slice_codec.cpp
@@ -1,6 +1,7 @@
 // The codec of slice records.
 #include <algorithm>
 
+#include "store/compact_encoding.hpp"
 #include "store/record_fields.hpp"
 #include "store/records.hpp"
 
@@ -13,6 +14,10 @@
 namespace {
 
 constexpr std::uint64_t kSliceFormat = 2;  // 1 had tasks with named fields, 32 to a slice
+constexpr std::uint64_t kCompactSliceFormat = 3;
+/// Replaces the reasons of stops where these alone would make a slice too large; the job's notes
+/// have each of them.
+constexpr const char* kAnyReason = "stopped; the job's notes tell why";
 
 /// What the tasks of a slice share, so that 64 of them fit one value: the first of their times, and
 /// each zone and reason once.
@@ -104,15 +109,199 @@
   return true;
 }
 
-}  // namespace
+/// How much of a slice the compact form keeps; the first that fits is taken.
+struct CompactDetail {
+  std::int64_t time_unit_ms;
+  bool every_reason;
+};
+constexpr std::array<CompactDetail, 3> kCompactDetails{{{1, true}, {1000, true}, {1000, false}}};
 
-std::string encode(const SliceRecord& r) {
-  SliceCommon common;
+/// Which of a task's fields follow its state in the compact form.
+enum TaskField : std::uint64_t {
+  kHasProgress = 4,  // the two lowest bits are the state
+  kHasFaults = 8,
+  kHasRunning = 16,
+  kHasStop = 32,
+};
+constexpr std::uint64_t kStateBits = 3;
+
+/// Tasks in the compact form: numbers only, what is absent left out.
+class CompactTaskWriter {
+ public:
+  CompactTaskWriter(std::int64_t base, const CompactDetail& detail)
+      : base_(base), detail_(detail) {}
+
+  void write(const TaskRecord& task) {
+    const bool placed = task.placed();
+    std::uint64_t head = static_cast<std::uint64_t>(task.state);
+    if (task.progress > Duration{0}) head |= kHasProgress;
+    if (task.faults > 0) head |= kHasFaults;
+    if (placed && task.running.ms != 0) head |= kHasRunning;
+    if (placed && task.stop) head |= kHasStop;
+    bytes_.put(head);
+    bytes_.put(task.attempt.get());
+    bytes_.put(time(task.since));
+    if ((head & kHasProgress) != 0) put_duration(task.progress);
+    if ((head & kHasFaults) != 0) {
+      bytes_.put(task.faults);
+      bytes_.put(names_.number_of(task.failed_on.get()));
+    }
+    if (placed) write_place(task, head);
+  }
+
+  void write_to(json::Writer& out) const {
+    out.put("unit", detail_.time_unit_ms).put("tasks", bytes_.base64());
+    out.put("host", names_.prefix()).put("digits", names_.digits());
+    record_fields::write_texts(out, "hosts", names_.others());
+    record_fields::write_texts(out, "zones", zones_);
+    record_fields::write_texts(out, "reasons", reasons_);
+  }
+
+ private:
+  void write_place(const TaskRecord& task, std::uint64_t head) {
+    bytes_.put(index(zones_, task.zone.get()));
+    bytes_.put(names_.number_of(task.machine_id.get()));
+    bytes_.put(task.session.get());
+    if ((head & kHasRunning) != 0) bytes_.put(time(task.running));
+    if ((head & kHasStop) == 0) return;
+    put_duration(task.stop->grace_period);
+    bytes_.put(index(reasons_, detail_.every_reason ? task.stop->reason : kAnyReason));
+  }
+  static std::uint64_t index(std::vector<std::string>& list, const std::string& text) {
+    return static_cast<std::uint64_t>(SliceCommon::index(list, text));
+  }
+  [[nodiscard]] std::uint64_t time(WallTime at) const {
+    if (at.ms == 0) return 0;
+    return static_cast<std::uint64_t>((at.ms - base_) / detail_.time_unit_ms) + 1;
+  }
+  void put_duration(Duration duration) {
+    bytes_.put(static_cast<std::uint64_t>(duration.ms / detail_.time_unit_ms));
+  }
+
+  std::int64_t base_;
+  CompactDetail detail_;
+  ByteWriter bytes_;
+  MachineNames names_;
+  std::vector<std::string> zones_;
+  std::vector<std::string> reasons_;
+};
+
+/// Reads what a `CompactTaskWriter` wrote.
+class CompactTaskReader {
+ public:
+  /// False when a field is missing or of another type.
+  bool open(const json::Value& v) {
+    const auto tasks = json::text(v, "tasks");
+    const auto unit = json::integer(v, "unit");
+    const auto base = json::integer(v, "base");
+    const auto prefix = json::text(v, "host");
+    const auto digits = json::count(v, "digits");
+    std::vector<std::string> others;
+    if (!tasks || !unit || !base || !prefix || !digits || *unit <= 0 ||
+        !read_texts(v, "hosts", others) || !read_texts(v, "zones", zones_) ||
+        !read_texts(v, "reasons", reasons_)) {
+      return false;
+    }
+    unit_ms_ = *unit;
+    base_ = *base;
+    names_ = MachineNames(*prefix, *digits, std::move(others));
+    bytes_ = ByteReader(*tasks);
+    return true;
+  }
+
+  bool read_task(TaskRecord& task) {
+    const std::uint64_t head = bytes_.number();
+    task.state = static_cast<TaskState>(head & kStateBits);
+    task.attempt = Attempt(bytes_.number());
+    task.since = time();
+    if ((head & kHasProgress) != 0) task.progress = duration();
+    if ((head & kHasFaults) != 0) {
+      task.faults = static_cast<std::uint32_t>(bytes_.number());
+      if (!read_machine(task.failed_on)) return false;
+    }
+    if (!task.placed()) return bytes_.ok();
+    return read_place(task, head) && bytes_.ok();
+  }
+
+ private:
+  bool read_place(TaskRecord& task, std::uint64_t head) {
+    const std::uint64_t zone = bytes_.number();
+    if (zone >= zones_.size() || !read_machine(task.machine_id)) return false;
+    task.zone = ZoneId(zones_[zone]);
+    task.session = SessionId(bytes_.number());
+    if ((head & kHasRunning) != 0) task.running = time();
+    if ((head & kHasStop) == 0) return true;
+    const Duration grace_period = duration();
+    const std::uint64_t reason = bytes_.number();
+    if (reason >= reasons_.size()) return false;
+    task.stop = StopOrder{grace_period, reasons_[reason]};
+    return true;
+  }
+  bool read_machine(MachineId& out) {
+    const auto name = names_.name_of(bytes_.number());
+    if (name) out = MachineId(*name);
+    return name.has_value();
+  }
+  WallTime time() {
+    const std::uint64_t units = bytes_.number();
+    if (units == 0) return WallTime{0};
+    return WallTime{base_ + static_cast<std::int64_t>(units - 1) * unit_ms_};
+  }
+  Duration duration() { return Duration{static_cast<std::int64_t>(bytes_.number()) * unit_ms_}; }
+
+  std::int64_t base_ = 0;
+  std::int64_t unit_ms_ = 1;
+  ByteReader bytes_{""};
+  MachineNames names_;
+  std::vector<std::string> zones_;
+  std::vector<std::string> reasons_;
+};
+
+/// The earliest of the tasks' times.
+std::int64_t base_of(const SliceRecord& r) {
+  std::int64_t base = 0;
   for (const TaskRecord& task : r.tasks) {
     for (const WallTime at : {task.since, task.running}) {
-      if (at.ms != 0 && (common.base == 0 || at.ms < common.base)) common.base = at.ms;
+      if (at.ms != 0 && (base == 0 || at.ms < base)) base = at.ms;
     }
   }
+  return base;
+}
+
+std::string encode_compact(const SliceRecord& r, const CompactDetail& detail) {
+  const std::int64_t base = base_of(r);
+  CompactTaskWriter tasks(base, detail);
+  for (const TaskRecord& task : r.tasks) tasks.write(task);
+  json::Writer out;
+  out.open()
+      .put("v", kCompactSliceFormat)
+      .put("uid", r.job_id.get())
+      .put("n", static_cast<std::uint64_t>(r.number))
+      .put("count", static_cast<std::uint64_t>(r.tasks.size()))
+      .put("base", base);
+  tasks.write_to(out);
+  out.close();
+  return out.str();
+}
+
+bool decode_compact(const json::Value& v, SliceRecord& out) {
+  const auto number = json::count(v, "n");
+  const auto count = json::count(v, "count");
+  CompactTaskReader tasks;
+  if (!number || !count || *count > kSliceTasks || !read(v, "uid", out.job_id) || !tasks.open(v)) {
+    return false;
+  }
+  out.number = static_cast<std::uint32_t>(*number);
+  out.tasks.resize(*count);
+  return std::all_of(out.tasks.begin(), out.tasks.end(),
+                     [&](TaskRecord& task) { return tasks.read_task(task); });
+}
+
+}  // namespace
+
+std::string encode(const SliceRecord& r) {
+  SliceCommon common;
+  common.base = base_of(r);
   json::Writer out;
   out.open()
       .put("v", kSliceFormat)
@@ -129,7 +318,20 @@
   return out.str();
 }
 
+std::string encode(const SliceRecord& r, const RecordSize& size) {
+  std::string text = encode(r);
+  if (!size.compact_allowed) return text;
+  for (const CompactDetail& detail : kCompactDetails) {
+    if (text.size() <= size.max_bytes) break;
+    text = encode_compact(r, detail);
+  }
+  return text;
+}
+
+bool is_compact_slice(const json::Value& v) { return json::count(v, "v") == kCompactSliceFormat; }
+
 bool decode(const json::Value& v, SliceRecord& out) {
+  if (is_compact_slice(v)) return decode_compact(v, out);
   const json::Value* tasks = json::list(v, "tasks");
   const auto number = json::count(v, "n");
   const auto base = json::integer(v, "base");
--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace marblevale {
@@ -37,6 +38,11 @@
   return std::nullopt;
 }
 
+bool is_compact(RecordKind kind, const json::Value& value) {
+  return (kind == RecordKind::slice && is_compact_slice(value)) ||
+         (kind == RecordKind::machine && is_compact_page(value));
+}
+
 std::optional<SliceKey> parse_slice_key(const std::string& rest) {
   const auto slash = rest.find('/');
   if (slash == std::string::npos) return std::nullopt;
@@ -119,6 +125,15 @@
       follow_later_(loop, [this] { follow(); }),
       give_up_(loop, [this] { answer_waiting(); }) {}
 
+RecordSize WatchCache::record_size() const {
+  const StoreLimits& limits = store_.limits();
+  // While a limit is only announced, versions that read no compact form may be running.
+  const bool all_read =
+      std::all_of(records_.nodes.begin(), records_.nodes.end(),
+                  [](const auto& entry) { return entry.second.record.reads_forms >= kReadsForms; });
+  return {limits.value_bytes, !limits.next && all_read};
+}
+
 bool WatchCache::told_by_watch(const std::string& key) const {
   const auto known = mod_revisions_.find(key);
   const bool own = known != mod_revisions_.end() && known->second.get() > revision_.get();
@@ -267,6 +282,9 @@
     return;
   }
   const json::Document* value = change.value ? &doc : nullptr;
+  if (value != nullptr && is_compact(parsed->topic, *value)) {
+    store_.lower_limits("another controller wrote a compact record");
+  }
   if (value == nullptr) {
     mod_revisions_.erase(change.key);
   } else {
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -78,7 +78,13 @@
   /// that does not come about in time.
   void when_fresh(std::function<void(bool)> then);
 
-  [[nodiscard]] std::size_t value_bytes() const { return store_.limits().value_bytes; }
+  /// What a record may take now. Compact forms are allowed once no lower limits are only
+  /// announced, and while every controller that lives reads them.
+  [[nodiscard]] RecordSize record_size() const;
+  /// What a value may take so that it can be rewritten under the announced limits as well.
+  [[nodiscard]] std::size_t lasting_value_bytes() const {
+    return store_.limits().lasting_value_bytes();
+  }
   /// How much of the budget for writes is to spare, from 0 to 1.
   [[nodiscard]] double write_slack() { return store_.write_slack(); }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -126,7 +126,8 @@
       record.state = state;
       Txn txn;
       txn.guard(keys::job(record.job_id), mod_revision);
-      txn.put(keys::final_job(record.job_id), encode(record)).remove(keys::job(record.job_id));
+      txn.put(keys::final_job(record.job_id), encode(record, testing::kValueBytes))
+          .remove(keys::job(record.job_id));
       store_.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
     };
     commit(known, FinalState::done);
@@ -159,7 +160,8 @@
     record.task_count = 2;
     record.ended = clock_.wall();
     Txn txn;
-    txn.put(keys::final_job(record.job_id), encode(record)).remove(keys::job(record.job_id));
+    txn.put(keys::final_job(record.job_id), encode(record, testing::kValueBytes))
+        .remove(keys::job(record.job_id));
     store_.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
   }
 
@@ -482,7 +484,7 @@
   grant.job_id = JobId("req-000412");
   grant.guarantees = {{0, clock_.wall() + Duration{5000}, clock_.wall() + Duration{9000}, {}}};
   grant.note(clock_.wall(), "displaced for req-7 (urgent)");
-  store_.put(keys::grant(grant.job_id), encode(grant));
+  store_.put(keys::grant(grant.job_id), encode(grant, testing::kValueBytes));
   store_.tell_watch();
   UserAnswer out;
   out.status = 0;
@@ -510,7 +512,7 @@
     } else {
       FinalRecord record;
       record.job_id = JobId(job_id);
-      store_.put(keys::final_job(record.job_id), encode(record));
+      store_.put(keys::final_job(record.job_id), encode(record, testing::kValueBytes));
     }
   }
   for (int i = 0; i < 10; ++i) {
@@ -612,7 +614,7 @@
   step();  // the watch that was open when it came, which it can't go by
   GrantRecord grant;
   grant.job_id = JobId("req-000412");
-  store_.put(keys::grant(grant.job_id), encode(grant));
+  store_.put(keys::grant(grant.job_id), encode(grant, testing::kValueBytes));
   settle(out);
   EXPECT_TRUE(ended);
   EXPECT_EQ(store_.commits.size(), commits + 2) << "the end, and the cancellation that lost";
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -88,6 +88,39 @@
   EXPECT_THROW(load_settings("/nowhere/at/all.toml"), SettingsError);
 }
 
+TEST(Settings, LimitsOfTheStateServiceThatAreAnnounced) {
+  EXPECT_FALSE(parse_settings(kSettings).store.next) << "absent: as today";
+  const auto with = [](const std::string& table) {
+    std::string text = kSettings;
+    const std::string after = "txn_ops = 24\n";
+    return text.insert(text.find(after) + after.size(), table);
+  };
+  const Settings s = parse_settings(
+      with("[cluster.state.next]\nwrite_rps = 70.0\nvalue_kb = 2.0\ntxn_ops = 8\nlater = \"x\"\n"));
+  ASSERT_TRUE(s.store.next);
+  EXPECT_EQ(s.store.next->value_bytes, 2048U);
+  EXPECT_EQ(s.store.next->txn_ops, 8U);
+  EXPECT_EQ(s.store.next->write_rps, 70);
+  EXPECT_EQ(s.store.next->rps, 250) << "what is not named stays";
+  EXPECT_EQ(s.store.txn_ops, 24U) << "the present limits stay until then";
+  const auto fault = [&](const std::string& table) -> std::string {
+    try {
+      parse_settings(with(table));
+    } catch (const SettingsError& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_NE(fault("next = 3\n").find("cluster.state.next"), std::string::npos);
+  for (const std::string key : {"rps", "write_rps", "value_kb", "txn_ops"}) {
+    const std::string head = "[cluster.state.next]\n" + key;
+    for (const std::string value : {" = 0\n", " = -1\n", " = \"x\"\n", " = nan\n"}) {
+      EXPECT_NE(fault(head + value).find("cluster.state.next." + key), std::string::npos)
+          << key << value;
+    }
+  }
+}
+
 template <typename Record>
 Record again(const Record& record) {
   json::Document doc;
@@ -100,7 +133,7 @@
 MachineRecord again(const MachineRecord& machine) {
   json::Document doc;
   MachinePage out;
-  EXPECT_TRUE(json::parse(doc, encode(MachinePage{{machine}}, 8192)));
+  EXPECT_TRUE(json::parse(doc, encode(MachinePage{{machine}}, RecordSize{})));
   EXPECT_TRUE(decode(doc, out));
   return out.machines.empty() ? MachineRecord{} : out.machines.front();
 }
@@ -187,7 +220,7 @@
     for (int k = 0; k < 20; ++k) note_image(m.images, ImageId("img-" + std::to_string(k)), 6, 150);
     page.machines.push_back(m);
   }
-  EXPECT_LE(encode(page, 8192).size(), 8192U);
+  EXPECT_LE(encode(page, RecordSize{}).size(), 8192U);
   EXPECT_EQ(keys::machine_page(ZoneId("a"), MachineId("vm-000023")), "mv/machines/a/vm-0");
   EXPECT_EQ(keys::machine_page(ZoneId("a"), MachineId("vm-000024")), "mv/machines/a/vm-1");
   EXPECT_EQ(keys::machine_page(ZoneId("a"), MachineId("odd")), "mv/machines/a/odd");
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -374,7 +374,7 @@
   grant.job_id = JobId("req-1");
   const WallTime promised = time_.wall() + Duration{700'000};
   grant.guarantees = {{0, promised, promised, promised + Duration{60'000}}};
-  store_.put(keys::grant(grant.job_id), encode(grant));
+  store_.put(keys::grant(grant.job_id), encode(grant, testing::kValueBytes));
   begin();
   run(Duration{1000});
   const auto& kept = cache_.records().grants.at(JobId("req-1")).record.guarantees.at(0);
--- a/tests/open_releases_test.cpp
+++ b/tests/open_releases_test.cpp
@@ -46,7 +46,7 @@
 
   ReleaseId sent() {
     const ReleaseId id = releases_.add(request(), cache_.records());
-    releases_.mark_sent(id);
+    releases_.mark_sent(id, RecordSize{});
     return id;
   }
   ReleaseId offered() {
@@ -86,7 +86,7 @@
   for (int i = 0; i < 20; ++i) {
     time_.advance(Duration{5'000});
     ASSERT_EQ(releases_.due(time_.steady()), std::vector<ReleaseId>{id}) << "it is sent again";
-    releases_.mark_sent(id);
+    releases_.mark_sent(id, RecordSize{});
     answer(id, Outcome::refused);
     ASSERT_TRUE(open_after(Duration{0}));
     EXPECT_EQ(releases_.state(kKey), State::unknown);
@@ -99,7 +99,7 @@
   answer(id, Outcome::unknown);
   std::vector<std::int64_t> pauses;
   for (int i = 0; i < 6; ++i) {
-    releases_.mark_sent(id);
+    releases_.mark_sent(id, RecordSize{});
     answer(id, Outcome::refused);
     const SteadyTime begin = time_.steady();
     while (releases_.due(time_.steady()).empty()) time_.advance(Duration{100});
@@ -112,7 +112,7 @@
   const ReleaseId id = sent();
   answer(id, Outcome::conflict, Revision(cache_.revision().get() + 1));
   EXPECT_TRUE(open_after(Duration{60'000})) << "what made a guard fail is not in the records yet";
-  store_.put("mv/grants/req-9", encode(GrantRecord{JobId("req-9"), {}, {}}));
+  store_.put("mv/grants/req-9", encode(GrantRecord{JobId("req-9"), {}, {}}, testing::kValueBytes));
   tell();
   EXPECT_FALSE(open_after(Duration{0}));
 }
@@ -170,7 +170,7 @@
   EXPECT_TRUE(releases_.due(time_.steady()).empty());
   EXPECT_TRUE(open_after(Duration{600}));
   ASSERT_EQ(releases_.due(time_.steady()), std::vector<ReleaseId>{id});
-  releases_.mark_sent(id);
+  releases_.mark_sent(id, RecordSize{});
   answer(id, Outcome::refused);
   EXPECT_TRUE(open_after(Duration{60'000})) << "the holder may still bind it";
 }
@@ -179,7 +179,7 @@
   releases_.on_offer_declined(offered(), time_.steady());
   EXPECT_FALSE(open_after(Duration{500}));
   const ReleaseId id = offered();
-  releases_.mark_sent(id);
+  releases_.mark_sent(id, RecordSize{});
   releases_.on_offer_declined(id, time_.steady());
   EXPECT_TRUE(open_after(Duration{60'000})) << "the commit decides by its own answer";
   answer(id, Outcome::refused);
--- a/tests/scripted_store.hpp
+++ b/tests/scripted_store.hpp
@@ -16,6 +16,9 @@
 
 namespace marblevale::testing {
 
+/// What a value may take where a test does not say otherwise.
+inline constexpr std::size_t kValueBytes = 8192;
+
 /// Time that stands still until the test moves it; timers fire in their order on the way.
 class FakeTime : public Clock, public TimerQueue {
  public:
@@ -90,6 +93,14 @@
 
   void commit(RequestPriority, Txn txn, std::function<void(CommitResult)> then) override {
     commits.push_back(txn);
+    if (enforces_announced && too_large(txn)) {
+      ++refused_for_size;
+      if (exceeds_announced(txn, limits_)) lower_limits("refused");
+      CommitResult refusal;
+      refusal.outcome = Outcome::refused;
+      deliver([then = std::move(then), refusal] { then(refusal); });
+      return;
+    }
     const Script script = next_script(txn);
     CommitResult result;
     switch (script) {
@@ -127,6 +138,17 @@
   }
 
   [[nodiscard]] const StoreLimits& limits() const override { return limits_; }
+  void lower_limits(const char*) override {
+    if (!limits_.next) return;
+    limits_.value_bytes = limits_.next->value_bytes;
+    limits_.txn_ops = limits_.next->txn_ops;
+    limits_.next.reset();
+  }
+  /// Lower limits are announced; they are in force once `enforces_announced` is set.
+  void announce_limits(std::size_t value_bytes, std::size_t txn_ops) {
+    announced_ = AnnouncedLimits{1e6, 1e6, value_bytes, txn_ops};
+    limits_.next = announced_;
+  }
   [[nodiscard]] double write_slack() override { return slack; }
 
   /// Tells each open watch what has changed since it was opened.
@@ -169,7 +191,7 @@
     if (const auto entry = get(key); entry && json::parse(doc, entry->value)) decode(doc, page);
     std::erase_if(page.machines, [&](const auto& m) { return m.machine_id == machine.machine_id; });
     page.machines.push_back(machine);
-    put(key, encode(page, limits_.value_bytes));
+    put(key, encode(page, RecordSize{limits_.value_bytes, false}));
   }
 
   void end_lease(LeaseId lease_id) { ended_.insert(lease_id); }
@@ -212,6 +234,8 @@
   std::deque<Txn> late;
   std::deque<std::function<void()>> held;
   std::vector<Txn> commits;
+  bool enforces_announced = false;  // the announced limits have come
+  int refused_for_size = 0;
 
  private:
   struct Kept {
@@ -237,6 +261,13 @@
     return script;
   }
 
+  [[nodiscard]] bool too_large(const Txn& txn) const {
+    if (txn.puts.size() + txn.deletes.size() > announced_.txn_ops) return true;
+    return std::any_of(txn.puts.begin(), txn.puts.end(), [this](const Put& put) {
+      return put.value.size() > announced_.value_bytes;
+    });
+  }
+
   void deliver(std::function<void()> answer) {
     if (hold) {
       held.push_back(std::move(answer));
@@ -282,7 +313,8 @@
   std::uint64_t leases_ = 0;
   std::set<LeaseId> ended_;
   std::vector<Watch> watches_;
-  StoreLimits limits_{1e6, 1e6, 8192, 16, 3};  // no pace: tests move time themselves
+  AnnouncedLimits announced_;
+  StoreLimits limits_{1e6, 1e6, kValueBytes, 16, 3, {}};  // no pace: tests move time themselves
 };
 
 }  // namespace marblevale::testing
--- a/tests/simulated_cluster.hpp
+++ b/tests/simulated_cluster.hpp
@@ -113,6 +113,7 @@
     store_.renew_lease(lease_id, [this, then](const LeaseResult& r) { answer(then, r); });
   }
   [[nodiscard]] const StoreLimits& limits() const override { return store_.limits(); }
+  void lower_limits(const char* evidence) override { store_.lower_limits(evidence); }
   [[nodiscard]] double write_slack() override {
     return condition == Condition::out_of_budget ? 0 : 1;
   }
--- a/tests/worker_partition_test.cpp
+++ b/tests/worker_partition_test.cpp
@@ -394,7 +394,7 @@
   offer.revision += 1;
   EXPECT_TRUE(holder_.accept_offer(offer));
   EXPECT_FALSE(store_.get(keys::slice(JobId("req-1"), 0)));
-  store_.put("mv/grants/req-9", encode(GrantRecord{JobId("req-9"), {}, {}}));
+  store_.put("mv/grants/req-9", encode(GrantRecord{JobId("req-9"), {}, {}}, testing::kValueBytes));
   run(Duration{600});
   EXPECT_EQ(task().state, TaskState::bound);
 }
