Reservations that are due keep the zones that spread and together allow

Cause: a reservation was held against room and team limit only; its zones were chosen while the job's other tasks were elsewhere, and a due one started as it stood. Change: Profile::keeps_zones is asked wherever a reservation is kept, repaired or started. Tests: three cases of Compression in planner_test failed before.

--- a/src/planner/placement_search.cpp
+++ b/src/planner/placement_search.cpp
@@ -136,7 +136,7 @@
   for (const Candidate& c : candidates) longest = std::max(longest, c.run);
   const Resources team_free =
       team == nullptr ? Resources{1e12, 1e12, 1e12} : team->free(at, at + longest);
-  const std::uint32_t zone_most = job.spread ? (job.task_count + 1) / 2 : job.task_count;
+  const std::uint32_t zone_most = max_tasks_in_zone(job);
   auto in_zone = demand.elsewhere;
   const auto zone_count = [&in_zone](const ZoneId& z) -> std::uint32_t& {
     for (auto& [name, n] : in_zone) {
@@ -335,7 +335,7 @@
   std::optional<Lane> limit;
   const Lane* team = profile_.team(job.team);
   if (team != nullptr) limit = *team;
-  const std::uint32_t zone_most = job.spread ? (job.task_count + 1) / 2 : job.task_count;
+  const std::uint32_t zone_most = max_tasks_in_zone(job);
   std::unordered_map<ZoneId, std::uint32_t> in_zone;
   for (const auto& [name, n] : demand.elsewhere) in_zone[name] += n;
   Plan plan;
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -84,6 +84,10 @@
   return plan;
 }
 
+bool Planner::holds(const Plan& plan, const Demand& demand) const {
+  return profile_.holds(plan, *demand.job) && profile_.keeps_zones(plan, demand);
+}
+
 void Planner::set(const QueueItem& item, const Plan& plan) {
   auto [it, fresh] = reservations_.try_emplace(item.job_id);
   Reservation& r = it->second;
@@ -134,7 +138,7 @@
       return std::find(there.only.begin(), there.only.end(), place.machine_id) != there.only.end();
     });
     if (kept && now.places.size() == item.demand.tasks && first_of(now) >= now_ &&
-        profile_.intact(item.owner)) {
+        profile_.intact(item.owner) && profile_.keeps_zones(plan_of(now), item.demand)) {
       pinned.insert(item.job_id);
       continue;
     }
@@ -166,7 +170,8 @@
     Reservation& r = reservations_.at(item->job_id);
     // Most stand in the profile since an earlier round, and nothing has come in their way.
     if (!disturbed && r.places.size() == item->demand.tasks && r.start > now_ &&
-        first_of(r) >= now_ && profile_.intact(item->owner)) {
+        first_of(r) >= now_ && profile_.intact(item->owner) &&
+        profile_.keeps_zones(plan_of(r), item->demand)) {
       continue;
     }
     if (!disturbed && repair(*item, moved)) continue;
@@ -181,7 +186,7 @@
     Plan plan = plan_of(r);
     if (plan.placements.size() == item->demand.tasks) {
       slide_to_now(plan);
-      if (profile_.holds(plan, *item->demand.job)) {
+      if (holds(plan, item->demand)) {
         profile_.take(plan, *item->demand.job, item->owner);
         continue;
       }
@@ -220,7 +225,7 @@
   Plan plan = plan_of(r);
   if (plan.placements.size() == item.demand.tasks) {
     slide_to_now(plan);
-    if (profile_.holds(plan, *item.demand.job)) {
+    if (holds(plan, item.demand)) {
       profile_.take(plan, *item.demand.job, item.owner);
       return true;
     }
@@ -328,7 +333,7 @@
           const PlanMachine& machine = profile_.machines()[s.machine];
           return profile_.fetch_time(*item.demand.job, machine) <= Duration{0};
         });
-    if (images && profile_.holds(reserved, *item.demand.job)) return reserved;
+    if (images && holds(reserved, item.demand)) return reserved;
   }
   if (item.demand.job->gang()) return profile_.fit_at(item.demand, now_);
   Plan some = profile_.fit_some(item.demand, now_);
@@ -371,7 +376,7 @@
                                                             r.places.size() - item.demand.tasks));
   }
   const Plan rest = plan_of(r);
-  if (!rest.placements.empty() && profile_.holds(rest, *item.demand.job)) {
+  if (!rest.placements.empty() && holds(rest, item.demand)) {
     profile_.take(rest, *item.demand.job, item.owner);
   } else if (const auto later = profile_.earliest(item.demand, now_)) {
     set(item, *later);
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -110,6 +110,9 @@
 
  private:
   [[nodiscard]] Plan plan_of(const Reservation& r) const;
+  /// The plan fits into the profile, and its zones go together with those of the job's tasks that
+  /// are placed already.
+  [[nodiscard]] bool holds(const Plan& plan, const Demand& demand) const;
   void set(const QueueItem& item, const Plan& plan);
   void put_back(const QueueItem& item);
   /// Keeps a reservation that broke, or places it again, where that moves nobody else and makes it
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <tuple>
 
 #include "planner/placement_search.hpp"
@@ -254,6 +255,21 @@
   return machines_hold(plan, job) && (limit == nullptr || team_holds(plan, job, *limit));
 }
 
+bool Profile::keeps_zones(const Plan& plan, const Demand& demand) const {
+  const JobSpec& job = *demand.job;
+  if (!job.spread && !job.together) return true;
+  std::map<ZoneId, std::uint32_t> counts;
+  if (job.spread) counts.insert(demand.elsewhere.begin(), demand.elsewhere.end());
+  std::optional<ZoneId> only = demand.zone;
+  for (const Placement& placement : plan.placements) {
+    const ZoneId& zone = machines_[placement.machine].zone;
+    if (job.together && only && zone != *only) return false;
+    only = zone;
+    if (++counts[zone] > max_tasks_in_zone(job)) return false;
+  }
+  return true;
+}
+
 bool Profile::machines_hold(const Plan& plan, const JobSpec& job) const {
   std::vector<Placement> sorted = plan.placements;
   std::sort(sorted.begin(), sorted.end(),
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -91,6 +91,8 @@
   [[nodiscard]] bool intact(Owner owner) const;
   /// True when the plan still fits as it is.
   [[nodiscard]] bool holds(const Plan& plan, const JobSpec& job) const;
+  /// The plan's zones are allowed beside those in which the job's other tasks are placed.
+  [[nodiscard]] bool keeps_zones(const Plan& plan, const Demand& demand) const;
   /// All tasks at exactly `at`: for gangs, or to ask whether a slice can start whole.
   [[nodiscard]] std::optional<Plan> fit_at(const Demand& demand, WallTime at) const;
   /// As many tasks of an array as can start at `at`.
--- a/src/planner/releaser.cpp
+++ b/src/planner/releaser.cpp
@@ -69,10 +69,11 @@
 }
 
 void Releaser::send(ReleaseId id) {
-  cache_.commit(RequestPriority::binding, open_.mark_sent(id, cache_.record_size()), [this, id](const CommitResult& r) {
-    open_.on_commit_answer(id, r, clock_.steady());
-    events_.answered();
-  });
+  cache_.commit(RequestPriority::binding, open_.mark_sent(id, cache_.record_size()),
+                [this, id](const CommitResult& r) {
+                  open_.on_commit_answer(id, r, clock_.steady());
+                  events_.answered();
+                });
 }
 
 void Releaser::commit(const SliceChangeRequest& request) {
--- a/src/planner/starvation.cpp
+++ b/src/planner/starvation.cpp
@@ -110,7 +110,7 @@
 const Candidate* place_for(const Waiting& w, const std::vector<Candidate>& machines) {
   const JobSpec& job = w.job->spec;
   const std::uint32_t wanted = job.gang() ? job.task_count : 1;
-  const std::uint32_t most_in_zone = job.spread ? (job.task_count + 1) / 2 : job.task_count;
+  const std::uint32_t most_in_zone = max_tasks_in_zone(job);
   std::map<ZoneId, std::uint32_t> zones = w.placed;
   std::uint32_t found = 0;
   for (const Candidate& c : machines) {
--- a/src/wire/job_spec.hpp
+++ b/src/wire/job_spec.hpp
@@ -44,6 +44,11 @@
   [[nodiscard]] bool endless() const { return shape == JobShape::service; }
 };
 
+/// How many of the job's tasks may be in one zone at a time.
+inline std::uint32_t max_tasks_in_zone(const JobSpec& job) {
+  return job.spread ? (job.task_count + 1) / 2 : job.task_count;
+}
+
 /// True for an id in the form that the protocol gives ("req-" and 1 to 32 digits, letters or
 /// dashes).
 bool valid_job_id(std::string_view job_id);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -409,6 +409,75 @@
   EXPECT_FALSE(Profile::allowed(job, spot));
 }
 
+/// Two zones with room for all, and a job one of whose tasks runs in zone b already.
+struct TwoZones {
+  TwoZones() {
+    profile.add_machine(machine("a1", 4, "a"));
+    profile.add_machine(machine("b1", 4, "b"));
+    profile.add_machine(machine("b2", 4, "b"));
+  }
+  /// How many of the tasks that start now start in zone b.
+  std::size_t started_in_b(const QueueItem& waiting, Reservations& reservations) {
+    Planner planner(std::move(profile), {waiting}, reservations, testing::no_failed_starts(),
+                    at(100), never);
+    planner.restore();
+    std::size_t cursor = 0;
+    std::size_t in_b = 0;
+    for (const Start& start : planner.compress(cursor)) {
+      for (const Placement& place : start.plan.placements) {
+        in_b += planner.profile().machines()[place.machine].zone == ZoneId("b") ? 1 : 0;
+      }
+    }
+    return in_b;
+  }
+  Profile profile;
+};
+
+// A reservation was made while the job's tasks were elsewhere. When it is due, its zones may no
+// longer go together with those of the tasks that run: 3 of 4 replicas were started in one zone.
+TEST(Compression, AReservationThatIsDueKeepsTheSpread) {
+  TwoZones zones;
+  JobSpec job = batch("req-a", 4, 1, 60);
+  job.shape = JobShape::service;
+  job.spread = true;
+  QueueItem waiting = item(job, 1);
+  waiting.task_indices = {1, 2, 3};
+  waiting.demand.tasks = 3;
+  waiting.demand.elsewhere = {{ZoneId("b"), 1}};
+  Reservations reservations{{job.job_id, reserved(90, 150, {"b1", "b2", "a1"})}};
+  EXPECT_LE(zones.started_in_b(waiting, reservations), 1U);
+}
+
+TEST(Compression, WhatIsLeftOfAReservationKeepsTheSpread) {
+  TwoZones zones;
+  JobSpec job = batch("req-a", 4, 1, 60);
+  job.spread = true;
+  QueueItem waiting = item(job, 1);
+  waiting.task_indices = {2, 3};
+  waiting.demand.tasks = 2;
+  waiting.demand.elsewhere = {{ZoneId("b"), 2}};
+  Reservations reservations{{job.job_id, reserved(200, 260, {"b1", "b2"})}};
+  Planner planner(std::move(zones.profile), {waiting}, reservations, testing::no_failed_starts(),
+                  at(100), never);
+  planner.restore();
+  for (const Reservation::Place& place : reservations.at(job.job_id).places) {
+    EXPECT_EQ(place.machine_id, MachineId("a1")) << "a place that can't be used is no guarantee";
+  }
+}
+
+TEST(Compression, AReservationThatIsDueKeepsTheZoneOfAJobThatStaysTogether) {
+  TwoZones zones;
+  JobSpec job = batch("req-a", 2, 1, 60);
+  job.together = true;
+  QueueItem waiting = item(job, 1);
+  waiting.task_indices = {1};
+  waiting.demand.tasks = 1;
+  waiting.demand.zone = ZoneId("b");
+  waiting.demand.elsewhere = {{ZoneId("b"), 1}};
+  Reservations reservations{{job.job_id, reserved(90, 150, {"a1"})}};
+  EXPECT_EQ(zones.started_in_b(waiting, reservations), 1U);
+}
+
 TEST(Profile, ArrayTasksStartSeparatelyUnderOneGuarantee) {
   const JobSpec array = batch("req-a", 5, 1, 10);
   const auto plan = one_machine(2).earliest(item(array, 1).demand, at(0));
