Replicas of standing jobs are never done, and leave machines that are about to go

A replica that ends in any way waits to run again; one that ends soon or by error is tried again with the pauses of failed tasks, and one that ran for a minute is as good as new. Replicas leave machines that the cloud takes back as soon as that is known, and those that are quarantined or drained one of a job at a time: such a machine would never have emptied. Standing work is not held back for larger pieces while writes are short, nor gathered in one zone. Displacement looks for room only in zones that the spread allows.

--- a/src/blocks/proof.cpp
+++ b/src/blocks/proof.cpp
@@ -50,20 +50,39 @@
   return worker.start_settled({id, task.attempt}, current) ? Finding::never_here : Finding::absent;
 }
 
+namespace {
+
+/// Work that is saved when a task ends without being done.
+Duration progress_after(const TaskRecord& task, const JobSpec& job, Duration ran, bool saved) {
+  if (saved) return std::min(job.estimated_run, task.progress + ran);
+  if (job.checkpoint_interval <= Duration{0} || ran <= Duration{0}) return task.progress;
+  const auto whole = (task.progress + ran).ms / job.checkpoint_interval.ms;
+  const Duration saved_by_itself{whole * job.checkpoint_interval.ms};
+  return std::min(job.estimated_run, std::max(task.progress, saved_by_itself));
+}
+
+/// A replica has no work to finish: however it ends, it has to run again. One that ends soon, in
+/// whatever way, is tried again with a growing pause; one that has run for long is as good as new.
+void end_replica(TaskRecord& task, const std::string& cause, Duration ran) {
+  const bool failed = cause == "error" || cause == "unknown";
+  if (ran >= kProvenReplicaRun) task.faults = 0;
+  if (!failed && (cause != "done" || ran >= kProvenReplicaRun)) return;
+  ++task.faults;
+  task.failed_on = task.machine_id;
+}
+
+}  // namespace
+
 void apply_end(TaskRecord& task, const JobSpec& job, const std::string& cause, bool saved,
                WallTime now) {
-  if (cause == "done") {
+  const Duration ran = task.running.ms == 0 ? Duration{0} : now - task.running;
+  task.state = TaskState::idle;
+  if (job.endless()) {
+    end_replica(task, cause, ran);
+  } else if (cause == "done") {
     task.state = TaskState::done;
   } else {
-    task.state = TaskState::idle;
-    const Duration ran = task.running.ms == 0 ? Duration{0} : now - task.running;
-    if (cause == "halted" && saved) {
-      task.progress = std::min(job.estimated_run, task.progress + ran);
-    } else if (job.checkpoint_interval > Duration{0} && ran > Duration{0}) {
-      const auto whole = (task.progress + ran).ms / job.checkpoint_interval.ms;
-      task.progress = std::max(task.progress, Duration{whole * job.checkpoint_interval.ms});
-      task.progress = std::min(task.progress, job.estimated_run);
-    }
+    task.progress = progress_after(task, job, ran, cause == "halted" && saved);
     if (cause == "error" || cause == "unknown") {
       ++task.faults;
       task.failed_on = task.machine_id;
--- a/src/blocks/proof.hpp
+++ b/src/blocks/proof.hpp
@@ -61,7 +61,11 @@
 /// What the worker last reported of this attempt; null when it did not name it.
 const ReportedTask* find_reported(const WorkerView& worker, const TaskAttempt& attempt);
 
-/// What an end does to a task's record. `saved`: a checkpoint was written before it.
+/// A replica of a standing job that ran this long shows that its failures before are over.
+inline constexpr Duration kProvenReplicaRun{60'000};
+
+/// What an end does to a task's record. `saved`: a checkpoint was written before it. A replica of a
+/// standing job is never done: it waits to run again.
 void apply_end(TaskRecord& task, const JobSpec& job, const std::string& cause, bool saved,
                WallTime now);
 
--- a/src/blocks/task_lifecycle.cpp
+++ b/src/blocks/task_lifecycle.cpp
@@ -220,7 +220,8 @@
   for (const ZoneId& zone : change.zones) blocks_.guard(txn, zone);
   txn.guard(keys::job(key.first), job.mod_revision);
   txn.guard(keys::slice(key.first, key.second), records.slice(key.first, key.second)->mod_revision);
-  const bool job_is_done = slice_count(job.record.spec) == 1 && change.slice.all_done();
+  const JobSpec& spec = job.record.spec;
+  const bool job_is_done = !spec.endless() && slice_count(spec) == 1 && change.slice.all_done();
   if (job_is_done) {
     // The leader removes the slice and the grant when there is budget to spare.
     txn.put(keys::final_job(key.first),
--- a/src/planner/displacement.cpp
+++ b/src/planner/displacement.cpp
@@ -12,6 +12,13 @@
 // What a victim of a team without a guarantee counts for: a part of its loss. Adding to the loss of
 // the others instead made one gang cheaper to stop than the four small tasks beside it.
 constexpr double kGuestShare = 0.5;
+
+/// As many of the job's tasks as `spread` allows are in the zone already.
+bool zone_is_full(const Demand& demand, const ZoneId& zone) {
+  return std::any_of(demand.elsewhere.begin(), demand.elsewhere.end(), [&](const auto& placed) {
+    return placed.first == zone && placed.second >= max_tasks_in_zone(*demand.job);
+  });
+}
 }  // namespace
 
 // Not split yet, issue 17.
@@ -83,7 +90,7 @@
     const bool usable = lane && !others.contains(machine_id) && m.state == MachineState::up &&
                         !m.reclaim_at && Profile::allowed(spec, rules) &&
                         (!item.demand.zone || *item.demand.zone == m.zone);
-    if (!usable) continue;
+    if (!usable || zone_is_full(item.demand, m.zone)) continue;
     // Those that lose least first.
     std::sort(place.victims.begin(), place.victims.end(),
               [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -6,6 +6,7 @@
 
 #include "planner/displacement.hpp"
 #include "planner/limit_waits.hpp"
+#include "planner/machine_evacuation.hpp"
 #include "planner/queueing.hpp"
 
 namespace marblevale {
@@ -20,7 +21,6 @@
 constexpr Duration kDisplaceBudget{60};    // after which no further job is tried in it
 constexpr Duration kCoalesce{5};
 constexpr Duration kSummaryEvery{10'000};
-constexpr Duration kSaveMargin{3'000};  // before a machine is taken back
 constexpr Duration kRoomEvery{12'000};  // between two displacements for one job
 constexpr Duration kWorthDisplacing{3'000};
 constexpr Duration kUnreachableZoneMaxAge{
@@ -168,7 +168,7 @@
 
   releaser_.pursue();
   cleanup_.run();
-  drain();
+  evacuate();
   const Occupancy::Slices ahead = releaser_.open().slices();
   const WallTime now = clock_.wall();
   occupancy_.set_unreachable_zones(unreachable_zones(), cache_.records());
@@ -264,40 +264,20 @@
   return out;
 }
 
-// Not split yet, issue 17.
-// NOLINTNEXTLINE(readability-function-cognitive-complexity)
-void Granting::drain() {
-  const auto& records = cache_.records();
-  const WallTime now = clock_.wall();
-  std::set<JobId> stopping;
-  for (const auto& [machine_id, machine] : records.machines) {
-    if (!machine.record.reclaim_at) continue;
-    const auto placed = records.placed.find(machine_id);
-    if (placed == records.placed.end()) continue;
-    for (const auto& [id, attempt] : placed->second) {
-      const JobRecord* job = records.job(id.job_id);
-      if (job == nullptr || job->spec.checkpoint_interval <= Duration{0}) continue;
-      if (*machine.record.reclaim_at - now > job->spec.save_time + kSaveMargin) continue;
-      stopping.insert(id.job_id);
-    }
-  }
-  // A gang is stopped whole; of an array, the tasks on machines that are taken.
-  for (const JobId& job_id : stopping) {
-    const JobSpec spec = records.job(job_id)->spec;
+void Granting::evacuate() {
+  for (const auto& [job_id, evacuation] : find_evacuations(cache_.records(), clock_.wall())) {
     bool stopped = false;
-    for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
-      const auto taken_back = [&](std::size_t, TaskRecord& task) {
-        const auto machine = records.machines.find(task.machine_id);
-        const bool taken = machine != records.machines.end() && machine->second.record.reclaim_at;
-        if (!spec.gang() && !taken) return false;
-        task.stop = StopOrder{spec.save_time + Duration{2'000}, "the cloud takes its machine back"};
+    for (const auto& [number, indices] : evacuation.tasks) {
+      const auto leaves = [&, &chosen = indices](std::size_t index, TaskRecord& task) {
+        if (!chosen.contains(index)) return false;
+        task.stop = StopOrder{evacuation.grace_period, evacuation.reason};
         return true;
       };
-      stopped = releaser_.stop_tasks({job_id, n}, taken_back) || stopped;
+      stopped = releaser_.stop_tasks({job_id, number}, leaves) || stopped;
     }
     // Once for each stop: a note at every round would push out the others.
     if (stopped)
-      grants_.note(job_id, "stopped to save its progress: the cloud takes its machine back");
+      grants_.note(job_id, std::string("stopped to go on elsewhere: ") + evacuation.reason);
   }
 }
 
--- a/src/planner/granting.hpp
+++ b/src/planner/granting.hpp
@@ -50,7 +50,8 @@
   void on_record_changed(RecordKind topic, const std::string& key);
   void touch_slice(const SliceKey& key);
   [[nodiscard]] std::set<ZoneId> unreachable_zones() const;
-  void drain();
+  /// Stops tasks on machines that are about to go.
+  void evacuate();
   void displace(const Planner& planner);
   /// Stops tasks so that the job can start; the machines on which that made room.
   std::vector<MachineId> make_room(const QueueItem& item,
--- a/src/planner/job_cleanup.cpp
+++ b/src/planner/job_cleanup.cpp
@@ -59,7 +59,9 @@
   // A gang completes together, but its slices are seen to end one by one, and what is lost after
   // the first was done is never started again: it is over once nothing of it is placed.
   const JobSpec& spec = job.record.spec;
-  const bool finished = done == slice_count(spec) || (spec.gang() && any_done && !placed);
+  // A standing job leaves by its cancellation alone.
+  const bool finished =
+      !spec.endless() && (done == slice_count(spec) || (spec.gang() && any_done && !placed));
   // What this controller committed itself, as the cancellation, is here before the watch has told
   // what came before it: a binding, perhaps, of which this copy knows nothing yet.
   const bool known = cache_.revision().get() >= job.mod_revision.get();
--- /dev/null
+++ b/src/planner/machine_evacuation.cpp
@@ -0,0 +1,96 @@
+#include "planner/machine_evacuation.hpp"
+
+namespace marblevale {
+
+namespace {
+
+constexpr Duration kSaveMargin{3'000};  // before a machine is taken back
+constexpr Duration kGraceMargin{2'000};
+constexpr const char* kTakenBack = "the cloud takes its machine back";
+constexpr const char* kGivenUp = "its machine is given up";
+
+bool given_up(const MachineRecord& machine) {
+  return machine.state == MachineState::quarantined || machine.state == MachineState::draining;
+}
+
+/// Adds the job's tasks for which `leaves` holds.
+template <typename Leaves>
+void add_tasks(Evacuation& out, const JobId& job_id, const Records& records, const Leaves& leaves) {
+  for (auto it = records.slices.lower_bound({job_id, 0});
+       it != records.slices.end() && it->first.first == job_id; ++it) {
+    const auto& tasks = it->second.record.tasks;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+      if (tasks[i].placed() && !tasks[i].stop && leaves(tasks[i])) {
+        out.tasks[it->first.second].insert(i);
+      }
+    }
+  }
+}
+
+/// All replicas of the job are placed, and none is being stopped.
+bool complete(const JobSpec& job, const Records& records) {
+  std::uint32_t placed = 0;
+  for (auto it = records.slices.lower_bound({job.job_id, 0});
+       it != records.slices.end() && it->first.first == job.job_id; ++it) {
+    for (const TaskRecord& task : it->second.record.tasks) {
+      if (task.placed() && !task.stop && task.running.ms != 0) ++placed;
+    }
+  }
+  return placed == job.task_count;
+}
+
+/// Jobs with tasks on machines that are about to go.
+std::set<JobId> affected_jobs(const Records& records, WallTime now) {
+  std::set<JobId> out;
+  for (const auto& [machine_id, machine] : records.machines) {
+    const bool taken_back = machine.record.reclaim_at.has_value();
+    if (!taken_back && !given_up(machine.record)) continue;
+    const auto placed = records.placed.find(machine_id);
+    if (placed == records.placed.end()) continue;
+    for (const auto& [id, attempt] : placed->second) {
+      const JobRecord* job = records.job(id.job_id);
+      if (job == nullptr || job->cancelled) continue;
+      const bool due = taken_back && job->spec.checkpoint_interval > Duration{0} &&
+                       *machine.record.reclaim_at - now <= job->spec.save_time + kSaveMargin;
+      if (due || job->spec.endless()) out.insert(id.job_id);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+std::map<JobId, Evacuation> find_evacuations(const Records& records, WallTime now) {
+  std::map<JobId, Evacuation> out;
+  const auto machine_of = [&records](const TaskRecord& task) -> const MachineRecord* {
+    const auto machine = records.machines.find(task.machine_id);
+    return machine == records.machines.end() ? nullptr : &machine->second.record;
+  };
+  const auto on_taken_back = [&](const TaskRecord& task) {
+    const MachineRecord* machine = machine_of(task);
+    return machine != nullptr && machine->reclaim_at;
+  };
+  const auto on_given_up = [&](const TaskRecord& task) {
+    const MachineRecord* machine = machine_of(task);
+    return machine != nullptr && given_up(*machine);
+  };
+  for (const JobId& job_id : affected_jobs(records, now)) {
+    const JobSpec& spec = records.job(job_id)->spec;
+    Evacuation evacuation{{}, spec.save_time + kGraceMargin, kTakenBack};
+    add_tasks(evacuation, job_id, records,
+              [&](const TaskRecord& task) { return spec.gang() || on_taken_back(task); });
+    if (evacuation.tasks.empty() && spec.endless() && complete(spec, records)) {
+      evacuation.reason = kGivenUp;
+      bool chosen = false;
+      add_tasks(evacuation, job_id, records, [&](const TaskRecord& task) {
+        const bool first = !chosen && on_given_up(task);
+        chosen = chosen || first;
+        return first;
+      });
+    }
+    if (!evacuation.tasks.empty()) out.emplace(job_id, std::move(evacuation));
+  }
+  return out;
+}
+
+}  // namespace marblevale
--- a/src/planner/queueing.cpp
+++ b/src/planner/queueing.cpp
@@ -41,6 +41,11 @@
   }
 }
 
+/// Replicas of a standing job are never done, whoever wrote that one is.
+bool waits(const TaskRecord& task, const JobSpec& job) {
+  return task.state == TaskState::idle || (job.endless() && task.state == TaskState::done);
+}
+
 }  // namespace
 
 Owner owner_of(const JobId& job_id) { return Owner(std::hash<JobId>{}(job_id) & ~(3ULL << 62)); }
@@ -106,7 +111,7 @@
                  (task->placed() && lasted);
         if (task->faults > 0) failed_on.insert(task->failed_on);
       }
-      if (task != nullptr && task->state != TaskState::idle) continue;
+      if (task != nullptr && !waits(*task, spec)) continue;
       progress = std::min(progress, task == nullptr ? Duration{0} : task->progress);
       const WallTime at = task == nullptr ? WallTime{0} : task->since + retry_pause(task->faults);
       soonest = std::min(soonest, at);
@@ -187,7 +192,7 @@
     const Team* team = settings.team(job.record.spec.team);
     item->of_guaranteed_team = team != nullptr && team->has_guarantee();
     set_target(*item, job.record.spec, settings, now);
-    if (gather && !job.record.spec.gang()) {
+    if (gather && job.record.spec.shape == JobShape::array) {
       // Where most of it is; a new one anywhere, decided by its name, so that no zone is favoured.
       const auto& there = item->demand.elsewhere;
       const auto most =
--- a/src/planner/releaser.cpp
+++ b/src/planner/releaser.cpp
@@ -121,7 +121,7 @@
   const JobRecord* job = cache_.records().job(start.job_id);
   if (job == nullptr) return false;
   const JobSpec& spec = job->spec;
-  if (spec.gang() || !short_of_writes()) return true;
+  if (spec.shape != JobShape::array || !short_of_writes()) return true;
   const SteadyTime now = clock_.steady();
   const auto last = last_release_.try_emplace(start.job_id, SteadyTime{-1'000'000}).first;
   const bool small =
@@ -134,7 +134,7 @@
 Start Releaser::of_one_zone(const Start& start, const Planner& planner) const {
   // The part of an array's start that one holder can bind; the rest has its turn in the next round.
   const JobRecord* job = cache_.records().job(start.job_id);
-  if (job == nullptr || job->spec.gang()) return start;
+  if (job == nullptr || job->spec.shape != JobShape::array) return start;
   const auto& machines = planner.profile().machines();
   std::map<ZoneId, std::size_t> counts;
   for (const Placement& s : start.plan.placements) ++counts[machines[s.machine].zone];
