Standing jobs: admission by their published fields, and the tests of their replicas

A standing job lacks no field any more without a 400, its deadline says nothing, and what could not be kept under the announced limits gets 422 with the reason. The check of what can never run has a file of its own.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -6,8 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "admission/feasibility.hpp"
 #include "admission/why.hpp"
-#include "planner/profile.hpp"
 
 namespace marblevale {
 
@@ -274,33 +274,6 @@
   }
 }
 
-std::optional<std::string> Admission::impossible(const JobSpec& job) const {
-  const Team* team = settings_.team(job.team);
-  if (team == nullptr) return "unknown team " + job.team.get();
-  // A service's tasks all hold room at once, like a gang's.
-  const Resources wanted =
-      job.gang() || job.endless() ? job.need * static_cast<double>(job.task_count) : job.need;
-  if (!fits(wanted, team->limit())) return "needs more than the team's limit";
-  std::set<ZoneId> zones;  // in which a task fits
-  for (const MachineType& type : cache_.records().types->record) {
-    PlanMachine machine;
-    machine.machine_type = type.name;
-    machine.resources = type.resources;
-    for (const ZoneId& zone : type.zones) {
-      machine.zone = zone;
-      if (Profile::allowed(job, machine)) zones.insert(zone);
-    }
-  }
-  if (zones.empty()) return "a task fits no allowed machine type";
-  // Tasks that run at the same time, at most half of them in one zone, need a second one. Those of
-  // an array may run one half after the other.
-  const bool several = job.task_count > 1 && (job.gang() || job.endless());
-  if (several && job.spread && (job.together || zones.size() < 2)) {
-    return "tasks that must be spread can be in one zone only";
-  }
-  return std::nullopt;
-}
-
 void Admission::submit(const std::string& body, Answer on_answer) {
   const Answer answer = in_time(loop_, kRequestTime, std::move(on_answer));
   json::Document doc;
@@ -325,7 +298,8 @@
     refusal = error(400, why + ": missing or invalid");
   } else if (!cache_.ready() || !records.types || records.types->record.empty()) {
     refusal = error(503, "the machine types are not known yet", 1);
-  } else if (const auto reason = impossible(*job)) {
+  } else if (const auto reason = why_impossible(*job, settings_, records.types->record,
+                                                cache_.lasting_value_bytes())) {
     refusal = error(422, *reason);
   } else if (records.jobs.size() >= settings_.tuning.max_open_jobs) {
     refusal = error(503, "too many unfinished jobs", kComeBackSeconds * 5);
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -58,7 +58,6 @@
   [[nodiscard]] const FinalRecord* remembered(const JobId& job_id) const;
   [[nodiscard]] UserAnswer state_of(const JobRecord& job) const;
   [[nodiscard]] static UserAnswer state_of(const FinalRecord& job);
-  [[nodiscard]] std::optional<std::string> impossible(const JobSpec& job) const;
 
   Loop& loop_;
   const Clock& clock_;
--- /dev/null
+++ b/src/admission/feasibility.cpp
@@ -0,0 +1,59 @@
+#include "admission/feasibility.hpp"
+
+#include <set>
+
+#include "planner/profile.hpp"
+#include "store/records.hpp"
+
+namespace marblevale {
+
+namespace {
+
+/// Zones in which some machine type may take a task of the job.
+std::set<ZoneId> zones_that_fit(const JobSpec& job, const std::vector<MachineType>& types) {
+  std::set<ZoneId> zones;
+  for (const MachineType& type : types) {
+    PlanMachine machine;
+    machine.machine_type = type.name;
+    machine.resources = type.resources;
+    for (const ZoneId& zone : type.zones) {
+      machine.zone = zone;
+      if (Profile::allowed(job, machine)) zones.insert(zone);
+    }
+  }
+  return zones;
+}
+
+/// All tasks of a gang and of a standing job run at the same time.
+bool runs_whole(const JobSpec& job) { return job.gang() || job.endless(); }
+
+/// The record as it is once the job is cancelled: its largest form.
+std::size_t largest_record_bytes(const JobSpec& job) {
+  constexpr WallTime kAnyTime{1'800'000'000'000};
+  return encode(JobRecord{job, kAnyTime, kAnyTime}).size();
+}
+
+}  // namespace
+
+std::optional<std::string> why_impossible(const JobSpec& job, const Settings& settings,
+                                          const std::vector<MachineType>& types,
+                                          std::size_t max_record_bytes) {
+  const Team* team = settings.team(job.team);
+  if (team == nullptr) return "unknown team " + job.team.get();
+  const double tasks = runs_whole(job) ? job.task_count : 1;
+  if (!fits(job.need * tasks, team->limit())) return "needs more than the team's limit";
+  const std::set<ZoneId> zones = zones_that_fit(job, types);
+  if (zones.empty()) return "a task fits no allowed machine type";
+  // Tasks that run at the same time, at most half of them in one zone, need a second one. Those of
+  // an array may run one half after the other.
+  const bool several = job.task_count > 1 && runs_whole(job);
+  if (several && job.spread && (job.together || zones.size() < 2)) {
+    return "tasks that must be spread can be in one zone only";
+  }
+  if (largest_record_bytes(job) > max_record_bytes) {
+    return "its description is too large to be kept: use shorter names, or fewer machine types";
+  }
+  return std::nullopt;
+}
+
+}  // namespace marblevale
--- a/src/wire/job_spec.cpp
+++ b/src/wire/job_spec.cpp
@@ -12,6 +12,7 @@
 constexpr double kMaxAmount = 1e6;   // CPUs, accelerators and GB of one task
 constexpr double kMaxSeconds = 1e8;  // about three years
 constexpr std::size_t kMaxName = 128;
+/// The estimate of a standing job: long after anything else, and far from where times overflow.
 constexpr Duration kEndless{90'000'000'000};
 
 bool valid_name(const std::optional<std::string>& name) {
@@ -27,16 +28,14 @@
   return true;
 }
 
-/// A flag that may be absent; any other type is a fault.
-bool read_flag(const json::Value& object, const char* name, bool required, bool& out) {
-  if (!required && json::field(object, name) == nullptr) return true;
+/// A flag; absent or of another type counts as a fault.
+bool read_flag(const json::Value& object, const char* name, bool& out) {
   const auto v = json::flag(object, name);
   if (v) out = *v;
   return v.has_value();
 }
 
-bool read_seconds(const json::Value& object, const char* name, bool required, Duration& out) {
-  if (!required && json::field(object, name) == nullptr) return true;
+bool read_seconds(const json::Value& object, const char* name, Duration& out) {
   double seconds = 0;
   if (!read_amount(object, name, kMaxSeconds, seconds)) return false;
   out = from_seconds(seconds);
@@ -120,22 +119,22 @@
     if (!valid_name(required_zone)) return fault("district");
     job.required_zone = ZoneId(*required_zone);
   }
-  // Only what may be null may be absent, except of a service, whose fields nobody has published.
-  const bool required = !job.endless();
-  if (!read_flag(object, "together", required, job.together)) return fault("together");
-  if (!read_flag(object, "spread", required, job.spread)) return fault("spread");
-  if (!read_flag(object, "loaners", required, job.allows_spot)) return fault("loaners");
-  if (!read_seconds(object, "expect_s", required, job.estimated_run)) return fault("expect_s");
-  // A service holds its room without end.
-  if (job.endless()) job.estimated_run = kEndless;
-  if (!read_seconds(object, "snapshot_s", required, job.checkpoint_interval))
-    return fault("snapshot_s");
-  if (!read_seconds(object, "stash_s", required, job.save_time)) return fault("stash_s");
+  if (!read_flag(object, "together", job.together)) return fault("together");
+  if (!read_flag(object, "spread", job.spread)) return fault("spread");
+  if (!read_flag(object, "loaners", job.allows_spot)) return fault("loaners");
+  if (!read_seconds(object, "expect_s", job.estimated_run)) return fault("expect_s");
+  if (!read_seconds(object, "snapshot_s", job.checkpoint_interval)) return fault("snapshot_s");
+  if (!read_seconds(object, "stash_s", job.save_time)) return fault("stash_s");
   if (json::field(object, "due_s") != nullptr) {
     Duration deadline;
-    if (!read_seconds(object, "due_s", true, deadline)) return fault("due_s");
+    if (!read_seconds(object, "due_s", deadline)) return fault("due_s");
     job.deadline = deadline;
   }
+  if (job.endless()) {
+    // It holds its room without end, and is never complete: a deadline says nothing.
+    job.estimated_run = kEndless;
+    job.deadline.reset();
+  }
   return job;
 }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -282,6 +282,64 @@
   EXPECT_EQ(submit(apart).status, 201) << "one half after the other";
 }
 
+/// A standing job as users submit it.
+std::string standing(const std::string& from = "", const std::string& to = "") {
+  std::string text = changed("ensemble", "standing");
+  text.replace(text.find("\"expect_s\":240.0"), 16, "\"expect_s\":0");
+  if (from.empty()) return text;
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST_F(AdmissionTest, AStandingJobIsAcceptedKnownAndCancelled) {
+  EXPECT_EQ(submit(standing()).status, 201);
+  EXPECT_EQ(submit(standing()).status, 200) << "known already";
+  const JobRecord& job = cache_.records().jobs.at(JobId("req-000412")).record;
+  EXPECT_TRUE(job.spec.endless());
+  EXPECT_FALSE(job.spec.deadline) << "it is never complete";
+  EXPECT_NE(query("req-000412").body.find("\"queued\""), std::string::npos);
+  EXPECT_EQ(submit(standing("\"parts\":2", "\"parts\":9")).status, 200) << "a known job first";
+  EXPECT_EQ(abort("req-000412").status, 200);
+  EXPECT_NE(query("req-000412").body.find("\"cancelled\""), std::string::npos);
+}
+
+TEST_F(AdmissionTest, AStandingJobThatCanNeverRunIs422) {
+  EXPECT_EQ(submit(standing("\"parts\":2", "\"parts\":5")).status, 422)
+      << "all its tasks run at once: five GPUs of four";
+  EXPECT_EQ(submit(standing("\"spread\":false", "\"spread\":true")).status, 422);
+  EXPECT_EQ(submit(standing("[\"g8\"]", "[\"g9\"]")).status, 422);
+  EXPECT_EQ(submit(standing("\"vision\"", "\"nobody\"")).status, 422);
+}
+
+TEST_F(AdmissionTest, AFaultInAStandingJobIsNamed) {
+  for (const char* estimate : {"-1", "\"0\"", "null", "1e999"}) {
+    const UserAnswer answer =
+        submit(standing("\"expect_s\":0", std::string("\"expect_s\":") + estimate));
+    EXPECT_EQ(answer.status, 400) << estimate;
+    if (std::string(estimate) != "1e999") {
+      EXPECT_NE(answer.body.find("expect_s"), std::string::npos);
+    }
+  }
+  EXPECT_EQ(submit(standing("\"spread\":false,", "")).status, 400) << "no field may be absent";
+  EXPECT_EQ(submit(standing("standing", "forever")).status, 400);
+}
+
+// A record that is larger than the state service will take could never be changed again: its job
+// could not be cancelled.
+TEST_F(AdmissionTest, ADescriptionThatCouldNotBeKeptIs422) {
+  const std::string image = std::string(120, 'i');
+  std::string text = changed("img-07", image);
+  std::string types = "[\"g8\"";
+  for (int i = 0; i < 20; ++i) types += ",\"" + std::string(90, 'g') + "\"";
+  text.replace(text.find("[\"g8\"]"), 6, types + "]");
+  store_.announce_limits(2048, 5);
+  const UserAnswer answer = submit(text);
+  EXPECT_EQ(answer.status, 422);
+  EXPECT_NE(answer.body.find("too large"), std::string::npos);
+  EXPECT_EQ(submit(kJob).status, 201);
+}
+
 TEST_F(AdmissionTest, WhatCanNeverRunIs422) {
   EXPECT_EQ(submit(changed("\"vision\"", "\"nobody\"")).status, 422);
   EXPECT_EQ(submit(changed("\"accelerators\":1.0", "\"accelerators\":3.0")).status, 422);
--- /dev/null
+++ b/tests/standing_jobs_test.cpp
@@ -0,0 +1,216 @@
+// Standing jobs: replicas run until the job is cancelled. One that ends in any way runs again, and
+// one whose machine is about to go moves ahead of the loss.
+#include "blocks/proof.hpp"
+#include "holder_fixture.hpp"
+#include "leader_fixture.hpp"
+#include "planner/displacement.hpp"
+#include "planner/machine_evacuation.hpp"
+#include "planner/queueing.hpp"
+
+namespace marblevale {
+namespace {
+
+JobSpec standing(const std::string& job_id, std::uint32_t replicas, double gpus) {
+  JobSpec job = testing::batch(job_id, replicas, gpus, 90'000'000);
+  job.shape = JobShape::service;
+  job.urgency = Urgency::production;
+  job.checkpoint_interval = Duration{0};
+  job.save_time = Duration{0};
+  return job;
+}
+
+TaskRecord running_since(WallTime at) {
+  TaskRecord task;
+  task.state = TaskState::bound;
+  task.attempt = Attempt(1);
+  task.zone = ZoneId("a");
+  task.machine_id = MachineId("vm-1");
+  task.running = at;
+  return task;
+}
+
+TEST(Replica, IsNeverDone) {
+  const JobSpec job = standing("req-1", 2, 1);
+  for (const char* cause : {"done", "error", "halted", "machine gone", "lease lost"}) {
+    TaskRecord task = running_since({1'000'000});
+    apply_end(task, job, cause, true, WallTime{2'000'000});
+    EXPECT_EQ(task.state, TaskState::idle) << cause;
+    EXPECT_EQ(task.progress, Duration{0}) << "it has no work that could be saved";
+    EXPECT_EQ(task.machine_id, MachineId{});
+  }
+}
+
+TEST(Replica, ThatKeepsEndingIsTriedWithGrowingPauses) {
+  const JobSpec job = standing("req-1", 2, 1);
+  TaskRecord task;
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    task = running_since({1'000'000});
+    task.faults = n - 1;
+    apply_end(task, job, n % 2 == 0 ? "error" : "done", false, WallTime{1'001'000});
+    EXPECT_EQ(task.faults, n);
+    EXPECT_EQ(task.failed_on, MachineId("vm-1"));
+  }
+  // One that had run for long failed for the first time: it runs again at once.
+  task = running_since({1'000'000});
+  task.faults = 4;
+  apply_end(task, job, "error", false, WallTime{1'000'000} + kProvenReplicaRun);
+  EXPECT_EQ(task.faults, 1U);
+  task = running_since({1'000'000});
+  task.faults = 4;
+  apply_end(task, job, "machine gone", false, WallTime{1'001'000});
+  EXPECT_EQ(task.faults, 4U) << "the loss of a machine is not its fault";
+}
+
+class StandingHolderTest : public testing::BlockHolderTest {};
+
+TEST_F(StandingHolderTest, AReplicaThatEndsLeavesTheJobUnfinished) {
+  handle_report(1, 0);
+  run(Duration{50});
+  handle_report(1, token());
+  release(standing("req-1", 1, 1));
+  run(Duration{500});
+  ASSERT_EQ(task().state, TaskState::bound);
+  handle_report(1, token(), task_index("running"));
+  run(Duration{500});
+  handle_report(1, token(), task_index("ended", "done"));
+  run(Duration{12'000});
+  EXPECT_EQ(task().state, TaskState::idle);
+  EXPECT_TRUE(store_.get(keys::job(JobId("req-1"))));
+  EXPECT_FALSE(store_.get(keys::final_job(JobId("req-1"))));
+}
+
+class StandingLeaderTest : public testing::LeaderTest {
+ protected:
+  void machine_in_state(const std::string& machine_id, MachineState state,
+                        std::optional<WallTime> reclaim_at = std::nullopt) {
+    MachineRecord m;
+    m.machine_id = MachineId(machine_id);
+    m.machine_type = "g8";
+    m.zone = ZoneId("a");
+    m.since = time_.wall();
+    m.state = state;
+    m.reclaim_at = reclaim_at;
+    store_.put_machine(m);
+  }
+  [[nodiscard]] TaskRecord replica(const std::string& machine_id) const {
+    TaskRecord task = bound(machine_id);
+    task.running = time_.wall();
+    return task;
+  }
+  void set_tasks(const JobSpec& spec, const std::vector<TaskRecord>& tasks) {
+    submit(spec);
+    SliceRecord slice;
+    slice.job_id = spec.job_id;
+    slice.tasks = tasks;
+    store_.put(keys::slice(slice.job_id, 0), encode(slice));
+  }
+  [[nodiscard]] std::size_t stopping(const std::string& job_id) const {
+    std::size_t count = 0;
+    for (const TaskRecord& task : tasks(job_id)) count += task.stop ? 1 : 0;
+    return count;
+  }
+};
+
+TEST_F(StandingLeaderTest, AReplicaThatEndedIsReleasedAgain) {
+  machine("vm-1");
+  machine("vm-2");
+  begin();
+  TaskRecord ended;
+  ended.attempt = Attempt(1);
+  ended.since = time_.wall();
+  set_tasks(standing("req-1", 2, 1), {replica("vm-1"), ended});
+  run(Duration{1'500});
+  ASSERT_EQ(tasks("req-1").size(), 2U);
+  EXPECT_EQ(tasks("req-1")[1].state, TaskState::released);
+  EXPECT_EQ(tasks("req-1")[1].attempt, Attempt(2));
+  EXPECT_EQ(tasks("req-1")[0].state, TaskState::bound) << "the other is left alone";
+}
+
+TEST_F(StandingLeaderTest, ADoneReplicaOfAnotherVersionRunsAgainAndEndsNothing) {
+  machine("vm-1");
+  begin();
+  TaskRecord done;
+  done.state = TaskState::done;
+  done.attempt = Attempt(1);
+  set_tasks(standing("req-1", 2, 1), {done, done});
+  run(Duration{12'000});
+  EXPECT_FALSE(store_.get(keys::final_job(JobId("req-1")))) << "it leaves by cancellation alone";
+  for (const TaskRecord& task : tasks("req-1")) EXPECT_EQ(task.state, TaskState::released);
+}
+
+TEST_F(StandingLeaderTest, ACancelledOneEndsOnceNothingOfItIsPlaced) {
+  machine("vm-1");
+  begin();
+  const JobSpec spec = standing("req-1", 1, 1);
+  set_tasks(spec, {replica("vm-1")});
+  run(Duration{500});
+  store_.put(keys::job(spec.job_id), encode(JobRecord{spec, time_.wall(), time_.wall()}));
+  run(Duration{2'000});
+  EXPECT_FALSE(store_.get(keys::final_job(spec.job_id))) << "a replica is still there";
+  set_task("req-1", TaskRecord{});
+  run(Duration{2'000});
+  ASSERT_TRUE(store_.get(keys::final_job(spec.job_id)));
+  EXPECT_NE(store_.get(keys::final_job(spec.job_id))->value.find("cancelled"), std::string::npos);
+}
+
+TEST_F(StandingLeaderTest, ReplicasLeaveAMachineThatTheCloudTakesBackAtOnce) {
+  machine("vm-1");
+  machine_in_state("vm-2", MachineState::draining, time_.wall() + Duration{15'000});
+  begin();
+  set_tasks(standing("req-1", 2, 1), {replica("vm-1"), replica("vm-2")});
+  run(Duration{1'000});
+  EXPECT_FALSE(tasks("req-1")[0].stop);
+  ASSERT_TRUE(tasks("req-1")[1].stop);
+  EXPECT_EQ(tasks("req-1")[1].stop->reason, "the cloud takes its machine back");
+  run(Duration{6'000});
+  const auto told = notes("req-1");
+  EXPECT_TRUE(std::any_of(told.begin(), told.end(), [](const std::string& note) {
+    return note.find("takes its machine back") != std::string::npos;
+  }));
+}
+
+// Such a machine would never empty by itself, and would be paid for until the job is cancelled.
+TEST_F(StandingLeaderTest, ReplicasLeaveAQuarantinedMachineOneAtATime) {
+  machine("vm-1");
+  machine_in_state("vm-2", MachineState::quarantined);
+  begin();
+  set_tasks(standing("req-1", 2, 1), {replica("vm-2"), replica("vm-2")});
+  run(Duration{3'000});
+  EXPECT_EQ(stopping("req-1"), 1U) << "the service goes on with the other";
+}
+
+TEST(Evacuation, WaitsWhileAnotherReplicaIsDown) {
+  Records records;
+  MachineRecord sick;
+  sick.machine_id = MachineId("vm-1");
+  sick.state = MachineState::quarantined;
+  records.machines[sick.machine_id] = {sick, ModRevision(1)};
+  const JobSpec spec = standing("req-1", 2, 1);
+  records.jobs[spec.job_id] = {JobRecord{spec, {}, std::nullopt}, ModRevision(1)};
+  SliceRecord slice;
+  slice.job_id = spec.job_id;
+  slice.tasks = {running_since({1'000}), TaskRecord{}};
+  records.slices[{spec.job_id, 0}] = {slice, ModRevision(1)};
+  records.placed[sick.machine_id][{spec.job_id, 0}] = Attempt(1);
+  EXPECT_TRUE(find_evacuations(records, WallTime{5'000}).empty());
+  records.slices[{spec.job_id, 0}].record.tasks[1] = running_since({1'000});
+  records.slices[{spec.job_id, 0}].record.tasks[1].machine_id = MachineId("vm-2");
+  EXPECT_EQ(find_evacuations(records, WallTime{5'000}).size(), 1U);
+  records.jobs[spec.job_id].record.cancelled = WallTime{4'000};
+  EXPECT_TRUE(find_evacuations(records, WallTime{5'000}).empty()) << "its stops are under way";
+}
+
+TEST(StandingQueue, IsNotGatheredInOneZoneWhileWritesAreShort) {
+  Records records;
+  Settings settings;
+  settings.zones = {ZoneId("a"), ZoneId("b")};
+  const JobSpec spec = standing("req-1", 3, 0);
+  records.jobs[spec.job_id] = {JobRecord{spec, {}, std::nullopt}, ModRevision(1)};
+  const auto none = [](const JobId&, std::uint32_t) -> const SliceRecord* { return nullptr; };
+  const auto queue = build_queue(records, settings, none, WallTime{1'000}, true);
+  ASSERT_EQ(queue.size(), 1U);
+  EXPECT_FALSE(queue[0].demand.lean);
+}
+
+}  // namespace
+}  // namespace marblevale
