--- a/src/blocks/order_sender.cpp
+++ b/src/blocks/order_sender.cpp
@@ -9,7 +9,8 @@
 namespace {
 constexpr std::size_t kMinClients = 32;  // connections to workers
 constexpr std::size_t kDefaultClients = 128;
-constexpr std::size_t kMaxClients = 2'000;
+/// Connections for each MB of the node's memory: an idle one takes a few KiB.
+constexpr double kClientsPerMb = 16;
 constexpr Duration kOrderDeadline{1500};
 }  // namespace
 
@@ -38,7 +39,9 @@
 std::size_t order_connections(const Settings& settings) {
   // A quarter: in the worst case all the machines report here, each by a connection of its own.
   if (settings.max_sockets <= 0) return kDefaultClients;
-  return std::clamp(static_cast<std::size_t>(settings.max_sockets) / 4, kMinClients, kMaxClients);
+  const auto by_sockets = static_cast<std::size_t>(settings.max_sockets) / 4;
+  const auto by_memory = static_cast<std::size_t>(settings.ram_mb * kClientsPerMb);
+  return std::max(kMinClients, by_memory > 0 ? std::min(by_sockets, by_memory) : by_sockets);
 }
 
 bool HttpOrderSender::make_room() {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -16,7 +16,7 @@
 // The sanitizers' build, which is many times slower, plans a smaller fleet; the count that bounds
 // the cost is per machine and job in both.
 #ifdef NDEBUG
-constexpr int kMachines = 3100;
+constexpr int kMachines = 4200;
 constexpr int kJobs = 1000;
 #else
 constexpr int kMachines = 620;
