A gang wider than one transaction is released in steps, each safe alone

Cause: a release of more slices than changes in a transaction got 400 for good; under 5 changes that is a gang of 321 tasks. Change: steps of as many slices as fit, under one attempt; a refused step is sent again, as the tasks of the others wait for it. Between two steps a new leader releases nothing beside what is placed (test).

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -564,7 +564,7 @@
   const WallTime wall = clock_.wall();
   Txn txn;
   election_.guard(txn);
-  const std::size_t most = settings_.store.max_operations();
+  const std::size_t most = cache_.max_operations();
   for (const auto& [machine_id, stored] : records.machines) {
     if (stored.record.state != MachineState::gone || wall - stored.record.since < kTombstone) {
       continue;
--- a/src/planner/grant_writer.cpp
+++ b/src/planner/grant_writer.cpp
@@ -51,7 +51,7 @@
   const auto& records = cache_.records();
   Txn txn;
   election_.guard(txn);
-  const std::size_t most = std::max<std::size_t>(1, settings_.store.max_operations() / 2);
+  const std::size_t most = std::max<std::size_t>(1, cache_.max_operations() / 2);
   std::unordered_map<JobId, std::vector<Note>> going;
   std::set<JobId> due;
   // A job that begins at once is told by its slice; a guarantee that moves is written now and then.
--- a/src/planner/job_cleanup.cpp
+++ b/src/planner/job_cleanup.cpp
@@ -133,14 +133,14 @@
   Txn txn;
   election_.guard(txn);
   for (const auto& [key, slice] : records.slices) {
-    if (txn.deletes.size() >= settings_.store.max_operations()) break;
+    if (txn.deletes.size() >= cache_.max_operations()) break;
     if (!over(key.first)) continue;
     txn.guard(keys::job(key.first), ModRevision{});
     txn.guard(keys::slice(key.first, key.second), slice.mod_revision);
     txn.remove(keys::slice(key.first, key.second));
   }
   for (const auto& [job_id, grant] : records.grants) {
-    if (txn.deletes.size() >= settings_.store.max_operations()) break;
+    if (txn.deletes.size() >= cache_.max_operations()) break;
     if (!over(job_id)) continue;
     txn.guard(keys::job(job_id), ModRevision{});
     txn.guard(keys::grant(job_id), grant.mod_revision).remove(keys::grant(job_id));
--- a/src/planner/open_releases.cpp
+++ b/src/planner/open_releases.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace marblevale {
@@ -15,6 +16,8 @@
 /// with each further one.
 constexpr Duration kRefusedPause{400};
 constexpr std::uint32_t kMaxPauseDoublings = 3;
+/// Of the values of one transaction: its body may have 64 KiB, with keys and guards.
+constexpr std::size_t kMaxTransactionBytes = std::size_t{48} * 1024;
 
 const char* name_of(OpenReleases::State state) {
   switch (state) {
@@ -57,6 +60,36 @@
   return "?";
 }
 
+std::vector<SliceChangeRequest> split_request(const SliceChangeRequest& request,
+                                              std::size_t max_operations) {
+  std::set<std::string> slice_keys;
+  for (const Put& put : request.txn.puts) slice_keys.insert(put.key);
+  SliceChangeRequest common{request.kind, {}, {}, false};
+  for (const auto& [key, mod_revision] : request.txn.guards) {
+    if (!slice_keys.contains(key)) common.txn.guard(key, mod_revision);
+  }
+  std::vector<SliceChangeRequest> steps;
+  std::size_t bytes = 0;
+  for (std::size_t i = 0; i < request.slices.size(); ++i) {
+    const Put& put = request.txn.puts[i];
+    const bool full = !steps.empty() && (steps.back().slices.size() >= max_operations ||
+                                         bytes + put.value.size() > kMaxTransactionBytes);
+    if (steps.empty() || full) {
+      steps.push_back(common);
+      bytes = 0;
+    }
+    bytes += put.value.size();
+    SliceChangeRequest& step = steps.back();
+    const auto guard = std::find_if(request.txn.guards.begin(), request.txn.guards.end(),
+                                    [&](const auto& g) { return g.first == put.key; });
+    if (guard != request.txn.guards.end()) step.txn.guard(guard->first, guard->second);
+    step.txn.put(put.key, put.value);
+    step.slices.push_back(request.slices[i]);
+  }
+  for (SliceChangeRequest& step : steps) step.is_step = steps.size() > 1;
+  return steps;
+}
+
 void OpenReleases::begin_term(ModRevision term) {
   if (term == term_) return;
   if (!open_.empty()) spdlog::info("releases: {} open ones ended with their term", open_.size());
@@ -69,6 +102,7 @@
                                          const Records& records) {
   Release release;
   release.kind = request.kind;
+  release.is_step = request.is_step;
   release.txn = request.txn;
   for (const SliceRecord& slice : request.slices) {
     const SliceKey key{slice.job_id, slice.number};
@@ -163,7 +197,7 @@
     const std::uint32_t doublings = std::min(release.refusals++, kMaxPauseDoublings);
     release.next_at = now + kRefusedPause * static_cast<double>(1U << doublings);
   }
-  const bool open = release.offer_open || release.commit_open;
+  const bool open = release.offer_open || release.commit_open || release.is_step;
   transition(id, release, open ? State::unknown : State::refused, why);
 }
 
--- a/src/planner/open_releases.hpp
+++ b/src/planner/open_releases.hpp
@@ -39,8 +39,15 @@
   Kind kind = Kind::release;
   Txn txn;                          // guarded by the leader's term and by each slice's revision
   std::vector<SliceRecord> slices;  // as the transaction leaves them
+  /// One of several steps: tasks of the other steps wait for these, so a refusal doesn't end it.
+  bool is_step = false;
 };
 
+/// The request in steps that each fit one transaction, with the same guards of term and job. Each
+/// step is safe alone: the tasks of a gang wait for one another, and end when some never come.
+std::vector<SliceChangeRequest> split_request(const SliceChangeRequest& request,
+                                              std::size_t max_operations);
+
 class OpenReleases {
  public:
   enum class State {
@@ -107,6 +114,7 @@
     NodeId holder;                      // to whom it was offered
     bool offer_open = false;            // the holder may still bind it
     bool commit_open = false;           // a commit went without an answer
+    bool is_step = false;               // is sent again after a refusal
     std::optional<SteadyTime> since;    // when it was first known to be open
     SteadyTime next_at;                 // when the state is left without any answer
     std::optional<Revision> answer_at;  // what the records must have to show the answer
--- a/src/planner/releaser.cpp
+++ b/src/planner/releaser.cpp
@@ -93,7 +93,7 @@
     if (task.placed() && !task.stop && stop(i, task)) changed = true;
   }
   if (!changed) return false;
-  SliceChangeRequest request{SliceChangeRequest::Kind::stop, {}, {slice}};
+  SliceChangeRequest request{SliceChangeRequest::Kind::stop, {}, {slice}, false};
   election_.guard(request.txn);
   request.txn.guard(keys::slice(key.first, key.second), stored->mod_revision);
   request.txn.put(keys::slice(key.first, key.second), encode(slice, cache_.record_size()));
@@ -260,9 +260,9 @@
   const auto holder = one_holder(start, planner);
   if (holder && request.slices.size() == 1) {
     offer(*holder, request, start);
-  } else {
-    commit(request);
+    return;
   }
+  for (const auto& step : split_request(request, cache_.max_operations())) commit(step);
 }
 
 std::optional<NodeId> Releaser::one_holder(const Start& start, const Planner& planner) const {
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -85,6 +85,8 @@
   [[nodiscard]] std::size_t lasting_value_bytes() const {
     return store_.limits().lasting_value_bytes();
   }
+  /// Changes of one transaction that fit now and under the announced limits.
+  [[nodiscard]] std::size_t max_operations() const { return store_.limits().max_operations(); }
   /// How much of the budget for writes is to spare, from 0 to 1.
   [[nodiscard]] double write_slack() { return store_.write_slack(); }
 
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -2,11 +2,14 @@
 // so that the version in production reads them until then, and none stays stuck.
 #include "app/settings.hpp"
 #include "holder_fixture.hpp"
+#include "leader_fixture.hpp"
 #include "planner/open_releases.hpp"
 
 namespace marblevale {
 namespace {
 
+using testing::Script;
+
 constexpr std::size_t kLoweredBytes = 2048;
 constexpr RecordSize kLowered{kLoweredBytes, true};
 
@@ -339,5 +342,53 @@
   EXPECT_EQ(again.guards, request.txn.guards);
 }
 
+class WideGangTest : public testing::LeaderTest {
+ protected:
+  static constexpr std::uint32_t kTasks = 7 * kSliceTasks;
+
+  void begin_with_wide_gang() {
+    store_.announce_limits(kLoweredBytes, 5);
+    store_.enforces_announced = true;
+    settings_.teams[0].gpus = settings_.teams[0].gpus_max = 1000;
+    for (int i = 0; i < 60; ++i) machine("vm-" + std::to_string(1000 + i));
+    begin();
+    submit(testing::gang("req-1", kTasks, 1, 60));
+  }
+  [[nodiscard]] std::map<Attempt, std::size_t> placed_by_attempt() const {
+    std::map<Attempt, std::size_t> out;
+    for (const auto& [key, slice] : cache_.records().slices) {
+      for (const TaskRecord& task : slice.record.tasks) {
+        if (task.placed()) ++out[task.attempt];
+      }
+    }
+    return out;
+  }
+};
+
+TEST_F(WideGangTest, IsReleasedInStepsThatFitOneTransactionEach) {
+  begin_with_wide_gang();
+  // A step that is refused is sent again: the tasks of the other would wait for it in vain.
+  store_.key_scripts[keys::slice(JobId("req-1"), 6)] = {Script::refuse};
+  run(Duration{3'000});
+  EXPECT_EQ(placed_by_attempt(), (std::map<Attempt, std::size_t>{{Attempt(1), kTasks}}));
+}
+
+// The leader ends between the steps: what was released counts, and the rest is not released beside
+// it under another attempt.
+TEST_F(WideGangTest, IsLeftAloneWhereOnlyAStepWasCarriedOut) {
+  begin_with_wide_gang();
+  store_.lower_limits("known before");
+  auto& last_step = store_.key_scripts[keys::slice(JobId("req-1"), 6)];
+  last_step.assign(10'000, Script::lose_request);
+  for (int i = 0; i < 400 && placed_by_attempt().empty(); ++i) run(Duration{10});
+  ASSERT_EQ(placed_by_attempt(), (std::map<Attempt, std::size_t>{{Attempt(1), 5 * kSliceTasks}}));
+  store_.put(keys::kLeader, encode(LeaderRecord{NodeId("other"), Nonce(9)}));
+  run(Duration{100});
+  last_step.clear();
+  store_.put(keys::kLeader, encode(LeaderRecord{NodeId("me"), Nonce(7)}));
+  run(Duration{3'000});
+  EXPECT_EQ(placed_by_attempt(), (std::map<Attempt, std::size_t>{{Attempt(1), 5 * kSliceTasks}}));
+}
+
 }  // namespace
 }  // namespace marblevale
