--- a/tests/worker_partition_test.cpp
+++ b/tests/worker_partition_test.cpp
@@ -15,6 +15,10 @@
   EXPECT_EQ(order_connections(settings), 1250U);
   settings.max_sockets = 10;
   EXPECT_EQ(order_connections(settings), 32U);
+  settings.max_sockets = 20'000;
+  EXPECT_EQ(order_connections(settings), 5000U);
+  settings.ram_mb = 56;
+  EXPECT_EQ(order_connections(settings), 896U) << "an idle connection takes memory, too";
 }
 
 TEST(MirrorLoad, APageThatCannotBeHadIsAskedForAgainByItself) {
