--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fleet/suspects.hpp"
+
 namespace marblevale {
 
 namespace {
@@ -28,8 +30,6 @@
 constexpr std::uint32_t kMaxRented = 50;  // by one request, as the protocol has it
 constexpr double kSpareShare = 0.2;       // of the machines that are up: idle ones worth keeping
 constexpr double kSurplusPatience = 0.4;  // of the idle time, for those beyond the spare ones
-constexpr Duration kProvenRun{4'000};     // a task that ran this long elsewhere is not at fault
-constexpr Duration kSuspicion{45'000};
 constexpr Duration kUnlisted{5'000};      // more than clocks differ
 constexpr Duration kStateSilence{2'500};  // without an answer: the state service is out
 
@@ -334,72 +334,19 @@
       });
 }
 
-Fleet::FailureCause Fleet::failure_cause(const JobId& job_id, const MachineRecord& machine) const {
-  const auto& slices = cache_.records().slices;
-  const WallTime now = clock_.wall();
-  bool failed_elsewhere = false;
-  for (auto it = slices.lower_bound({job_id, 0}); it != slices.end() && it->first.first == job_id;
-       ++it) {
-    for (const TaskRecord& task : it->second.record.tasks) {
-      if (task.faults == 0) continue;
-      const bool lasted = task.running > machine.since && now - task.running > kProvenRun;
-      const bool runs_elsewhere = task.machine_id != machine.machine_id && lasted;
-      if (runs_elsewhere || task.state == TaskState::done) return FailureCause::machine;
-      // Failing again on this machine, or beside it, says nothing for the machine.
-      failed_elsewhere = failed_elsewhere || task.failed_on != machine.machine_id;
-    }
-  }
-  return failed_elsewhere ? FailureCause::job : FailureCause::unknown;
-}
-
-std::map<MachineId, std::set<JobId>> Fleet::failed_jobs_of_suspects() const {
-  const Records& records = cache_.records();
-  std::map<MachineId, std::set<JobId>> failed_jobs;
-  for (const auto& [machine_id, stored] : records.machines) {
-    const MachineRecord& machine = stored.record;
-    if (machine.state == MachineState::suspect) failed_jobs[machine_id].insert(machine.blamed);
-  }
-  if (failed_jobs.empty()) return failed_jobs;
-  for (const auto& [key, slice] : records.slices) {
-    for (const TaskRecord& task : slice.record.tasks) {
-      if (task.faults == 0) continue;
-      const auto suspect = failed_jobs.find(task.failed_on);
-      if (suspect != failed_jobs.end()) suspect->second.insert(key.first);
-    }
-  }
-  return failed_jobs;
-}
-
 void Fleet::judge_suspect(const MachineRecord& machine, const std::set<JobId>& failed_jobs) {
   if (machines_.waits(machine.machine_id)) return;
   const WallTime now = clock_.wall();
-  bool proven_faulty = false;
-  std::size_t unexplained = 0;
-  for (const JobId& job_id : failed_jobs) {
-    const FailureCause cause = failure_cause(job_id, machine);
-    proven_faulty = proven_faulty || cause == FailureCause::machine;
-    unexplained += cause == FailureCause::unknown ? 1 : 0;
-  }
-  // A job that failed elsewhere, too, is at fault itself: two such jobs condemn no machine. Where
-  // two failed of which nothing is heard from elsewhere, the machine is the likelier cause.
-  const bool overdue = now - machine.since > kSuspicion;
-  MachineRecord verdict = machine;
-  if (proven_faulty || (overdue && unexplained > 1)) {
-    verdict.state = MachineState::quarantined;
-  } else if (unexplained == 0 || overdue) {
-    verdict.state = MachineState::up;
-  } else {
-    return;
-  }
-  spdlog::info("fleet: suspect {} is {}", machine.machine_id.get(), name_of(verdict.state));
-  machines_.edit(machine.machine_id, machine.zone,
-                 [state = verdict.state, now](MachineRecord& known) {
-                   if (known.state != MachineState::suspect) return MachineWriter::EditAction::none;
-                   known.state = state;
-                   known.since = now;
-                   known.blamed = JobId{};
-                   return MachineWriter::EditAction::put;
-                 });
+  const auto verdict = verdict_on_suspect(machine, failed_jobs, cache_.records(), now);
+  if (!verdict) return;
+  spdlog::info("fleet: suspect {} is {}", machine.machine_id.get(), name_of(*verdict));
+  machines_.edit(machine.machine_id, machine.zone, [state = *verdict, now](MachineRecord& known) {
+    if (known.state != MachineState::suspect) return MachineWriter::EditAction::none;
+    known.state = state;
+    known.since = now;
+    known.blamed = JobId{};
+    return MachineWriter::EditAction::put;
+  });
 }
 
 void Fleet::return_idle() {
@@ -440,7 +387,7 @@
       [](const auto& entry) { return entry.second.record.state == MachineState::silent; }));
   const Duration patience =
       settings_.workers.lease * (silent >= kManySilent ? kManySilentLeases : kSilentLeases);
-  const auto failed_jobs = failed_jobs_of_suspects();
+  const auto failed_jobs = failed_jobs_of_suspects(records);
   for (const auto& [machine_id, stored] : records.machines) {
     const MachineRecord& m = stored.record;
     const bool listed = last_seen_.contains(machine_id);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -53,11 +53,6 @@
   void pursue_rentals();
   void pursue_machines();
   void return_idle();
-  /// What is known of the failure of a job's tasks on a suspect machine.
-  enum class FailureCause { unknown, machine, job };
-  [[nodiscard]] FailureCause failure_cause(const JobId& job_id, const MachineRecord& machine) const;
-  /// The jobs whose tasks last failed on each of the machines that are suspect.
-  [[nodiscard]] std::map<MachineId, std::set<JobId>> failed_jobs_of_suspects() const;
   void judge_suspect(const MachineRecord& machine, const std::set<JobId>& failed_jobs);
   void pursue_deletions();
   void delete_unrecorded();
