--- a/src/planner/grant_writer.cpp
+++ b/src/planner/grant_writer.cpp
@@ -13,9 +13,8 @@
 constexpr std::size_t kMaxNotes = 16;  // of one job that wait
 }  // namespace
 
-GrantWriter::GrantWriter(const Clock& clock, const Settings& settings, WatchCache& cache,
-                         Election& election)
-    : clock_(clock), settings_(settings), cache_(cache), election_(election) {}
+GrantWriter::GrantWriter(const Clock& clock, WatchCache& cache, Election& election)
+    : clock_(clock), cache_(cache), election_(election) {}
 
 void GrantWriter::begin_term() {
   ++life_;
--- a/src/planner/grant_writer.hpp
+++ b/src/planner/grant_writer.hpp
@@ -5,7 +5,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/settings.hpp"
 #include "election/election.hpp"
 #include "planner/planner.hpp"
 #include "store/watch_cache.hpp"
@@ -14,7 +13,7 @@
 
 class GrantWriter {
  public:
-  GrantWriter(const Clock& clock, const Settings& settings, WatchCache& cache, Election& election);
+  GrantWriter(const Clock& clock, WatchCache& cache, Election& election);
 
   /// A new term: what an earlier one had not written is no longer ours to write. The reasons of
   /// stops that are still in the slices are noted again where the grants lack them.
@@ -27,7 +26,6 @@
 
  private:
   const Clock& clock_;
-  const Settings& settings_;
   WatchCache& cache_;
   Election& election_;
   std::unordered_map<JobId, std::vector<Note>> notes_;  // not yet in the state service
--- a/src/planner/granting.cpp
+++ b/src/planner/granting.cpp
@@ -48,7 +48,7 @@
       cache_(cache),
       election_(election),
       fleet_(fleet),
-      grants_(clock, settings, cache, election),
+      grants_(clock, cache, election),
       cleanup_(clock, settings, cache, election, fleet),
       rentals_(loop.metrics(), clock, settings, fleet),
       releaser_(loop.metrics(), clock, settings, cache, election,
@@ -265,7 +265,9 @@
 }
 
 void Granting::evacuate() {
-  for (const auto& [job_id, evacuation] : find_evacuations(cache_.records(), clock_.wall())) {
+  for (const auto& entry : find_evacuations(cache_.records(), clock_.wall())) {
+    const JobId& job_id = entry.first;
+    const Evacuation& evacuation = entry.second;
     bool stopped = false;
     for (const auto& [number, indices] : evacuation.tasks) {
       const auto leaves = [&, &chosen = indices](std::size_t index, TaskRecord& task) {
--- a/src/store/machine_page_codec.cpp
+++ b/src/store/machine_page_codec.cpp
@@ -83,13 +83,11 @@
   return index;
 }
 
-/// Which fields of a machine follow those that all have, in the compact form.
-enum MachineField : std::uint64_t {
-  kIsSpot = 8,  // the three lowest bits are the state
-  kHasReclaim = 16,
-  kHasBlamed = 32,
-};
+/// The head of a machine in the compact form: its state, and which other fields follow.
 constexpr std::uint64_t kStateBits = 7;
+constexpr std::uint64_t kIsSpot = 8;
+constexpr std::uint64_t kHasReclaim = 16;
+constexpr std::uint64_t kHasBlamed = 32;
 
 /// How much of a page the compact form keeps.
 struct CompactDetail {
--- a/src/store/slice_codec.cpp
+++ b/src/store/slice_codec.cpp
@@ -116,14 +116,12 @@
 };
 constexpr std::array<CompactDetail, 3> kCompactDetails{{{1, true}, {1000, true}, {1000, false}}};
 
-/// Which of a task's fields follow its state in the compact form.
-enum TaskField : std::uint64_t {
-  kHasProgress = 4,  // the two lowest bits are the state
-  kHasFaults = 8,
-  kHasRunning = 16,
-  kHasStop = 32,
-};
+/// The head of a task in the compact form: its state, and which other fields follow.
 constexpr std::uint64_t kStateBits = 3;
+constexpr std::uint64_t kHasProgress = 4;
+constexpr std::uint64_t kHasFaults = 8;
+constexpr std::uint64_t kHasRunning = 16;
+constexpr std::uint64_t kHasStop = 32;
 
 /// Tasks in the compact form: numbers only, what is absent left out.
 class CompactTaskWriter {
