A silent machine with a replica is given up once its worker's lease is over

From the end of the lease on waiting serves nobody. Zones of reservations are compared only for jobs whose tasks start one by one: the plan of each gang was made in every round for it.

--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -50,6 +50,9 @@
   Duration cancel;
 };
 
+/// Report intervals without a report after which a machine is called silent.
+inline constexpr double kSilentReports = 2.5;
+
 /// Operators' own settings: flags and variables only.
 struct Tuning {
   Duration round_budget{120};  // time of one round of decisions
--- a/src/blocks/worker_registry.cpp
+++ b/src/blocks/worker_registry.cpp
@@ -7,7 +7,6 @@
 namespace marblevale {
 
 namespace {
-constexpr double kSilentReports = 2.5;         // report intervals without a report
 constexpr Duration kMinProcessPause{3'000};    // beyond the interval between two sweeps
 constexpr Duration kStrangerLifetime{30'000};  // without a report and without a record
 }  // namespace
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr double kSilentLeases = 0.8;
 constexpr double kManySilentLeases = 1.2;
 constexpr std::size_t kManySilent = 10;
+constexpr Duration kLeaseMargin{1'000};   // clocks, and the way of the last answer
 constexpr double kNeverUp = 3.0;          // boot times after which a machine is given up
 constexpr std::size_t kMaxDeleted = 100;  // by one request, as the protocol has it
 constexpr double kListShare =
@@ -376,6 +377,26 @@
   }
 }
 
+bool Fleet::holds_replica(const MachineId& machine_id) const {
+  const Records& records = cache_.records();
+  const auto placed = records.placed.find(machine_id);
+  if (placed == records.placed.end()) return false;
+  return std::any_of(placed->second.begin(), placed->second.end(), [&](const auto& entry) {
+    const JobRecord* job = records.job(entry.first.job_id);
+    return job != nullptr && job->spec.endless() && !job->cancelled;
+  });
+}
+
+Duration Fleet::patience_with_silent(const MachineId& machine_id, std::size_t silent) const {
+  const Duration lease = settings_.workers.lease;
+  const Duration ordinary = lease * (silent >= kManySilent ? kManySilentLeases : kSilentLeases);
+  if (!holds_replica(machine_id)) return ordinary;
+  // Its replicas are down from the end of the worker's lease on, whatever became of the machine: to
+  // wait for longer only keeps them from running elsewhere.
+  const Duration silent_before = settings_.workers.report * kSilentReports;
+  return std::min(ordinary, std::max(Duration{0}, lease - silent_before) + kLeaseMargin);
+}
+
 // Not split yet, issue 17.
 // NOLINTNEXTLINE(readability-function-cognitive-complexity,readability-function-size)
 void Fleet::pursue_machines() {
@@ -385,8 +406,6 @@
   const auto silent = static_cast<std::size_t>(std::count_if(
       records.machines.begin(), records.machines.end(),
       [](const auto& entry) { return entry.second.record.state == MachineState::silent; }));
-  const Duration patience =
-      settings_.workers.lease * (silent >= kManySilent ? kManySilentLeases : kSilentLeases);
   const auto failed_jobs = failed_jobs_of_suspects(records);
   for (const auto& [machine_id, stored] : records.machines) {
     const MachineRecord& m = stored.record;
@@ -400,7 +419,8 @@
         const bool failed =
             entry != listed_.end() && entry->second.machine.status == RentalStatus::failed;
         const bool taken = failed || (!listed && last_list_ > charge_since_);
-        if (taken || wall - m.since > patience) request_deletion(machine_id, "silent");
+        if (taken || wall - m.since > patience_with_silent(machine_id, silent))
+          request_deletion(machine_id, "silent");
         break;
       }
       case MachineState::suspect:
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -53,6 +53,11 @@
   void pursue_rentals();
   void pursue_machines();
   void return_idle();
+  /// True for a machine with a replica of a standing job that is not cancelled.
+  [[nodiscard]] bool holds_replica(const MachineId& machine_id) const;
+  /// How long a silent machine is waited for, when so many are silent.
+  [[nodiscard]] Duration patience_with_silent(const MachineId& machine_id,
+                                              std::size_t silent) const;
   void judge_suspect(const MachineRecord& machine, const std::set<JobId>& failed_jobs);
   void pursue_deletions();
   void delete_unrecorded();
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -88,6 +88,11 @@
   return profile_.holds(plan, *demand.job) && profile_.keeps_zones(plan, demand);
 }
 
+bool Planner::keeps_zones(const Reservation& r, const Demand& demand) const {
+  // Asked of every reservation in every round: the plan is made only where it matters.
+  return !Profile::has_tasks_elsewhere(demand) || profile_.keeps_zones(plan_of(r), demand);
+}
+
 void Planner::set(const QueueItem& item, const Plan& plan) {
   auto [it, fresh] = reservations_.try_emplace(item.job_id);
   Reservation& r = it->second;
@@ -138,7 +143,7 @@
       return std::find(there.only.begin(), there.only.end(), place.machine_id) != there.only.end();
     });
     if (kept && now.places.size() == item.demand.tasks && first_of(now) >= now_ &&
-        profile_.intact(item.owner) && profile_.keeps_zones(plan_of(now), item.demand)) {
+        profile_.intact(item.owner) && keeps_zones(now, item.demand)) {
       pinned.insert(item.job_id);
       continue;
     }
@@ -170,8 +175,7 @@
     Reservation& r = reservations_.at(item->job_id);
     // Most stand in the profile since an earlier round, and nothing has come in their way.
     if (!disturbed && r.places.size() == item->demand.tasks && r.start > now_ &&
-        first_of(r) >= now_ && profile_.intact(item->owner) &&
-        profile_.keeps_zones(plan_of(r), item->demand)) {
+        first_of(r) >= now_ && profile_.intact(item->owner) && keeps_zones(r, item->demand)) {
       continue;
     }
     if (!disturbed && repair(*item, moved)) continue;
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -113,6 +113,7 @@
   /// The plan fits into the profile, and its zones go together with those of the job's tasks that
   /// are placed already.
   [[nodiscard]] bool holds(const Plan& plan, const Demand& demand) const;
+  [[nodiscard]] bool keeps_zones(const Reservation& r, const Demand& demand) const;
   void set(const QueueItem& item, const Plan& plan);
   void put_back(const QueueItem& item);
   /// Keeps a reservation that broke, or places it again, where that moves nobody else and makes it
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -255,9 +255,14 @@
   return machines_hold(plan, job) && (limit == nullptr || team_holds(plan, job, *limit));
 }
 
+bool Profile::has_tasks_elsewhere(const Demand& demand) {
+  const JobSpec& job = *demand.job;
+  return !job.gang() && (job.spread || job.together);
+}
+
 bool Profile::keeps_zones(const Plan& plan, const Demand& demand) const {
   const JobSpec& job = *demand.job;
-  if (!job.spread && !job.together) return true;
+  if (!has_tasks_elsewhere(demand)) return true;
   std::map<ZoneId, std::uint32_t> counts;
   if (job.spread) counts.insert(demand.elsewhere.begin(), demand.elsewhere.end());
   std::optional<ZoneId> only = demand.zone;
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -91,6 +91,9 @@
   [[nodiscard]] bool intact(Owner owner) const;
   /// True when the plan still fits as it is.
   [[nodiscard]] bool holds(const Plan& plan, const JobSpec& job) const;
+  /// The job's tasks start one by one, and where some are decides where others may be. A gang is
+  /// placed whole, while none of its tasks is anywhere.
+  [[nodiscard]] static bool has_tasks_elsewhere(const Demand& demand);
   /// The plan's zones are allowed beside those in which the job's other tasks are placed.
   [[nodiscard]] bool keeps_zones(const Plan& plan, const Demand& demand) const;
   /// All tasks at exactly `at`: for gangs, or to ask whether a slice can start whole.
--- a/tests/granting_test.cpp
+++ b/tests/granting_test.cpp
@@ -117,7 +117,7 @@
   begin();
   submit(testing::gang("req-1", 1, 1, 60));
   run(Duration{200});
-  GrantWriter writer(time_, settings_, cache_, election_);
+  GrantWriter writer(time_, cache_, election_);
   Reservations none;
   writer.note(JobId("req-1"), "displaced for req-7 (urgent)");
   store_.scripts = {Script::refuse};
--- a/tests/standing_jobs_test.cpp
+++ b/tests/standing_jobs_test.cpp
@@ -179,6 +179,22 @@
   EXPECT_EQ(stopping("req-1"), 1U) << "the service goes on with the other";
 }
 
+// A replica is down from the end of its worker's lease: its machine is given up then, and not a
+// part of a lease later like others that fell silent.
+TEST_F(StandingLeaderTest, ASilentMachineWithAReplicaIsGivenUpOnceItsLeaseIsOver) {
+  const Duration lease_over = settings_.workers.lease - settings_.workers.report * kSilentReports;
+  machine_in_state("vm-1", MachineState::silent);
+  machine_in_state("vm-2", MachineState::silent);
+  begin();
+  set_tasks(standing("req-1", 1, 1), {replica("vm-1")});
+  set_task("req-2", bound("vm-2"));
+  submit(testing::batch("req-2", 1, 1, 600));
+  run(lease_over - Duration{1'000});
+  EXPECT_TRUE(cloud_.removed.empty()) << "until then it may come back, its replica running";
+  run(Duration{3'500});
+  EXPECT_EQ(cloud_.removed, std::vector<MachineId>{MachineId("vm-1")});
+}
+
 TEST(Evacuation, WaitsWhileAnotherReplicaIsDown) {
   Records records;
   MachineRecord sick;
