A standing job starts beside what runs; reservations of lower urgency there are placed again

Cause: its open end conflicts with every reservation behind it, so on a busy cluster its earliest start was after the last of them, with idle room at hand; displacement found nobody to stop. The placement of one moment is cut into candidates and their choice. Test: StandingPlanTest (3).

--- a/src/planner/placement_search.cpp
+++ b/src/planner/placement_search.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <queue>
 
 namespace marblevale {
@@ -15,6 +16,7 @@
 constexpr double kApartSeconds = 10;  // waiting that staying in one zone is worth
 /// Ends are planned to this: lanes with fewer steps are quicker to ask, and estimates are rougher.
 constexpr Duration kPlanningStep{1000};
+const Resources kNoLimit{1e12, 1e12, 1e12};
 constexpr WallTime kNever{std::numeric_limits<std::int64_t>::max()};
 
 std::uint64_t mix(std::uint64_t x) {
@@ -87,99 +89,92 @@
   return enough;
 }
 
-/// Tasks placed so far while one demand is tried at one moment: what they take of each machine.
-struct PlacementSearch::Trial {
-  std::unordered_map<std::size_t, Resources> used;
-  Resources team_used{};
-
-  [[nodiscard]] Resources on(std::size_t machine) const {
-    const auto it = used.find(machine);
-    return it == used.end() ? Resources{} : it->second;
-  }
-  void add(std::size_t machine, const Resources& resources) {
-    team_used += resources;
-    used[machine] += resources;
-  }
+struct PlacementSearch::Candidate {
+  std::size_t machine;
+  Resources free;
+  double score;
+  Duration run;
 };
 
-// Not split yet, issue 17.
-// NOLINTNEXTLINE(readability-function-cognitive-complexity,readability-function-size)
-std::optional<Plan> PlacementSearch::place_in(const Demand& demand, WallTime at,
-                                              const std::optional<ZoneId>& zone, bool partly,
-                                              Duration least_run) const {
+std::vector<PlacementSearch::Candidate> PlacementSearch::candidates(
+    const Demand& demand, WallTime at, const std::optional<ZoneId>& zone, Room room,
+    Duration least_run) const {
   const JobSpec& job = *demand.job;
-  if (!team_takes(demand, at)) return std::nullopt;
-  struct Candidate {
-    std::size_t machine;
-    Resources free;
-    double score;
-    Duration run;
-  };
-  std::vector<Candidate> candidates;
+  std::vector<Candidate> out;
   profile_.each_allowed(demand, zone, [&](std::size_t i) {
-    if (profile_.machines()[i].ready > at || profile_.lane(i).surely_full(job.need, at)) return;
+    const Lane& lane = profile_.lane(i);
+    if (profile_.machines()[i].ready > at || lane.surely_full(job.need, at)) return;
     const Duration fetch = profile_.fetch_time(job, profile_.machines()[i]);
     const Duration run = std::max(least_run, planned_run(demand, fetch));
-    const Resources free = profile_.lane(i).free(at, at + run);
+    const Resources free =
+        room == Room::unreserved ? lane.free(at, at + run) : lane.whole() - lane.running();
     if (!fits(job.need, free)) return;
-    candidates.push_back({i, free, score(demand, i, fetch, free), run});
+    out.push_back({i, free, score(demand, i, fetch, free), run});
   });
+  return out;
+}
+
+Plan PlacementSearch::assign(const Demand& demand, WallTime at, std::vector<Candidate> candidates,
+                             const Resources& team_free) const {
+  const JobSpec& job = *demand.job;
   // Each takes at least one task: those behind the first `tasks` are needed only for `spread`.
   const std::size_t needed =
       job.spread ? candidates.size() : std::min<std::size_t>(candidates.size(), demand.tasks);
   std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(needed),
                     candidates.end(),
                     [](const Candidate& a, const Candidate& b) { return a.score < b.score; });
-
-  const Lane* team = profile_.team(job.team);
-  Duration longest = demand.run;
-  for (const Candidate& c : candidates) longest = std::max(longest, c.run);
-  const Resources team_free =
-      team == nullptr ? Resources{1e12, 1e12, 1e12} : team->free(at, at + longest);
-  const std::uint32_t zone_most = max_tasks_in_zone(job);
-  auto in_zone = demand.elsewhere;
-  const auto zone_count = [&in_zone](const ZoneId& z) -> std::uint32_t& {
-    for (auto& [name, n] : in_zone) {
-      if (name == z) return n;
-    }
-    in_zone.emplace_back(z, 0);
-    return in_zone.back().second;
-  };
-
+  std::map<ZoneId, std::uint32_t> in_zone(demand.elsewhere.begin(), demand.elsewhere.end());
+  const auto zone_of = [this](const Candidate& c) { return profile_.machines()[c.machine].zone; };
   Plan plan;
-  Trial trial;
+  Resources team_used{};
   std::size_t next = 0;
-  for (std::uint32_t task = 0; task < demand.tasks; ++task) {
-    if (!fits(trial.team_used + job.need, team_free)) break;
+  while (plan.placements.size() < demand.tasks && fits(team_used + job.need, team_free)) {
     // A candidate that can't take one task can't take any later one either.
-    while (next < needed) {
-      const Candidate& c = candidates[next];
-      if (fits(job.need, c.free - trial.on(c.machine)) &&
-          zone_count(profile_.machines()[c.machine].zone) < zone_most) {
-        break;
-      }
+    while (next < needed && (!fits(job.need, candidates[next].free) ||
+                             in_zone[zone_of(candidates[next])] >= max_tasks_in_zone(job))) {
       ++next;
     }
     if (next == needed) break;
-    const Candidate& chosen = candidates[next];
-    trial.add(chosen.machine, job.need);
-    ++zone_count(profile_.machines()[chosen.machine].zone);
+    Candidate& chosen = candidates[next];
+    chosen.free -= job.need;
+    team_used += job.need;
+    ++in_zone[zone_of(chosen)];
     plan.placements.push_back({chosen.machine, at, at + chosen.run});
   }
+  return plan;
+}
+
+std::optional<Plan> PlacementSearch::place_in(const Demand& demand, WallTime at,
+                                              const std::optional<ZoneId>& zone, bool partly,
+                                              Duration least_run) const {
+  const JobSpec& job = *demand.job;
+  if (!team_takes(demand, at)) return std::nullopt;
+  std::vector<Candidate> found = candidates(demand, at, zone, Room::unreserved, least_run);
+  const Lane* team = profile_.team(job.team);
+  Duration longest = demand.run;
+  for (const Candidate& c : found) longest = std::max(longest, c.run);
+  const Resources team_free = team == nullptr ? kNoLimit : team->free(at, at + longest);
+  Plan plan = assign(demand, at, std::move(found), team_free);
   if (plan.placements.size() < demand.tasks && !partly) return std::nullopt;
-  if (job.gang()) {
-    // A gang runs from when its last task has its image, and ends together.
-    const WallTime end = plan.end();
-    for (Placement& spot : plan.placements) spot.end = end;
-    if (!partly && !profile_.holds(plan, job)) {
-      // Machines with the image have room, but not for as long as the slowest fetch makes it.
-      if (least_run >= end - at) return std::nullopt;
-      return place_in(demand, at, zone, partly, end - at);
-    }
+  if (!job.gang()) return plan;
+  // A gang runs from when its last task has its image, and ends together.
+  const WallTime end = plan.end();
+  for (Placement& spot : plan.placements) spot.end = end;
+  if (!partly && !profile_.holds(plan, job)) {
+    // Machines with the image have room, but not for as long as the slowest fetch makes it.
+    if (least_run >= end - at) return std::nullopt;
+    return place_in(demand, at, zone, partly, end - at);
   }
   return plan;
 }
 
+Plan PlacementSearch::beside_running(const Demand& demand, WallTime at) const {
+  const Lane* team = profile_.team(demand.job->team);
+  const Resources team_free = team == nullptr ? kNoLimit : team->whole() - team->running();
+  return assign(demand, at, candidates(demand, at, demand.zone, Room::beside_running, Duration{0}),
+                team_free);
+}
+
 std::vector<ZoneId> PlacementSearch::zones() const {
   std::vector<ZoneId> out;
   for (const Profile::Group& group : profile_.groups()) {
--- a/src/planner/placement_search.hpp
+++ b/src/planner/placement_search.hpp
@@ -17,6 +17,9 @@
   [[nodiscard]] std::optional<Plan> fit_at(const Demand& demand, WallTime at) const;
   /// As many tasks of an array as can start at `at`.
   [[nodiscard]] Plan fit_some(const Demand& demand, WallTime at) const;
+  /// As many tasks as have room at `at` beside what runs, whatever is reserved there, in the zone
+  /// of the job's other tasks if it has one.
+  [[nodiscard]] Plan beside_running(const Demand& demand, WallTime at) const;
   /// The earliest plan from `from` on; nothing when no machine of the profile can ever take it.
   [[nodiscard]] std::optional<Plan> earliest(const Demand& demand, WallTime from) const;
   /// False: what runs leaves too little room for the demand at `at` whatever is reserved. Quick.
@@ -26,7 +29,16 @@
   [[nodiscard]] bool team_takes(const Demand& demand, WallTime at) const;
 
  private:
-  struct Trial;
+  /// What counts as free: what nobody has reserved, or all that nobody uses now.
+  enum class Room { unreserved, beside_running };
+  /// A machine that has room for a task.
+  struct Candidate;
+  [[nodiscard]] std::vector<Candidate> candidates(const Demand& demand, WallTime at,
+                                                  const std::optional<ZoneId>& zone, Room room,
+                                                  Duration least_run) const;
+  /// Places tasks on the best candidates, as far as these, the spread and the team's limit go.
+  [[nodiscard]] Plan assign(const Demand& demand, WallTime at, std::vector<Candidate> candidates,
+                            const Resources& team_free) const;
   std::optional<Plan> place_in(const Demand& demand, WallTime at, const std::optional<ZoneId>& zone,
                                bool partly, Duration least_run) const;
   std::optional<Plan> gang_in(const Demand& demand, WallTime from,
--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -345,6 +345,29 @@
   return some;
 }
 
+std::optional<Plan> Planner::take_precedence(const QueueItem& item) {
+  if (!item.demand.job->endless()) return std::nullopt;
+  const Plan plan = profile_.beside_running(item.demand, now_);
+  if (plan.placements.empty()) return std::nullopt;
+  std::unordered_set<MachineId> wanted;
+  for (const Placement& place : plan.placements) {
+    wanted.insert(profile_.machines()[place.machine].machine_id);
+  }
+  for (const QueueItem& other : queue_) {
+    const auto r = reservations_.find(other.job_id);
+    if (r == reservations_.end() || other.job_id == item.job_id) continue;
+    if (other.demand.job->urgency >= item.demand.job->urgency) continue;
+    const auto& places = r->second.places;
+    const bool in_the_way = std::any_of(places.begin(), places.end(), [&](const auto& place) {
+      return wanted.contains(place.machine_id);
+    });
+    // The next round places it again, and notes what that costs it.
+    if (in_the_way) profile_.release(other.owner);
+  }
+  if (!holds(plan, item.demand)) return std::nullopt;
+  return plan;
+}
+
 void Planner::begin_now(QueueItem& item, const Plan& plan) {
   // As what runs: from the beginning of time, so that a full machine is seen at a glance.
   Plan running = plan;
@@ -456,7 +479,8 @@
       continue;
     }
     profile_.release_for_trial(item.owner);
-    const auto plan = start_now(item);
+    auto plan = start_now(item);
+    if (!plan) plan = take_precedence(item);
     if (!plan) {
       note_failed_start(item);
       put_back(item);
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -124,6 +124,9 @@
   void arrive(const QueueItem& item, bool move_others);
   void hold_unplaced(const QueueItem& item);
   [[nodiscard]] std::optional<Plan> start_now(const QueueItem& item) const;
+  /// A standing job never fits before reservations, as it has no end. It starts all the same where
+  /// nothing runs, if only reservations of lower urgency are in its way: these are placed again.
+  std::optional<Plan> take_precedence(const QueueItem& item);
   /// True when trying would fail as it did before.
   [[nodiscard]] bool still_hopeless(const QueueItem& item) const;
   void note_failed_start(const QueueItem& item);
--- a/src/planner/profile.cpp
+++ b/src/planner/profile.cpp
@@ -324,6 +324,10 @@
   return PlacementSearch(*this).earliest(demand, from);
 }
 
+Plan Profile::beside_running(const Demand& demand, WallTime at) const {
+  return PlacementSearch(*this).beside_running(demand, at);
+}
+
 bool Profile::room_beside_running(const Demand& demand, WallTime at) const {
   return PlacementSearch(*this).room_beside_running(demand, at);
 }
--- a/src/planner/profile.hpp
+++ b/src/planner/profile.hpp
@@ -91,6 +91,7 @@
   [[nodiscard]] bool intact(Owner owner) const;
   /// True when the plan still fits as it is.
   [[nodiscard]] bool holds(const Plan& plan, const JobSpec& job) const;
+  [[nodiscard]] Plan beside_running(const Demand& demand, WallTime at) const;
   /// The job's tasks start one by one, and where some are decides where others may be. A gang is
   /// placed whole, while none of its tasks is anywhere.
   [[nodiscard]] static bool has_tasks_elsewhere(const Demand& demand);
--- a/tests/standing_jobs_test.cpp
+++ b/tests/standing_jobs_test.cpp
@@ -216,6 +216,83 @@
   EXPECT_TRUE(find_evacuations(records, WallTime{5'000}).empty()) << "its stops are under way";
 }
 
+/// One machine of 100 CPUs of which 60 are in use for 50 s more, and are reserved whole after that.
+class StandingPlanTest : public ::testing::Test {
+ protected:
+  StandingPlanTest() {
+    profile_.add_machine(testing::machine("m", 8));
+    Plan running{{{0, WallTime{0}, testing::at(150)}}};
+    JobSpec running_job = testing::gang("req-0", 1, 8, 150);
+    running_job.need.cpus = 60;
+    profile_.take(running, running_job, Owner{99});
+    later_ = testing::gang("req-later", 1, 1, 60);
+    later_.need.cpus = 100;
+    Reservation r;
+    r.places = {{MachineId("m"), testing::at(150), testing::at(210)}};
+    r.first = r.start = testing::at(150);
+    r.end = testing::at(210);
+    r.changed = false;
+    reservations_[later_.job_id] = r;
+    replica_ = standing("req-live", 1, 0);
+  }
+
+  std::vector<Start> round(std::vector<Moved>* moved = nullptr) {
+    std::vector<QueueItem> queue{testing::item(replica_, 1, 100), testing::item(later_, 2, 50)};
+    if (started_) queue.erase(queue.begin());
+    Planner planner(std::move(profile_), queue, reservations_, failed_, testing::at(100),
+                    [](double) { return false; });
+    const auto all = planner.restore();
+    if (moved != nullptr) *moved = all;
+    planner.admit_arrivals();
+    std::size_t cursor = 0;
+    const auto starts = planner.compress(cursor);
+    profile_ = planner.take_profile();
+    if (!starts.empty()) {
+      // As the next round sees it: running, without an end.
+      started_ = true;
+      reservations_.erase(replica_.job_id);
+      profile_.release(Owner{1});
+      Plan running = starts.front().plan;
+      for (Placement& place : running.placements) place.start = WallTime{0};
+      profile_.take(running, replica_, Owner{98});
+    }
+    return starts;
+  }
+
+  Profile profile_;
+  JobSpec later_;
+  JobSpec replica_;
+  Reservations reservations_;
+  FailedStarts failed_;
+  bool started_ = false;
+};
+
+// An end that never comes conflicts with every reservation behind it: on a busy cluster a replica
+// waited for as long as anything was reserved, beside idle room (up to 110 s on a day of
+// hawakir-fields-next).
+TEST_F(StandingPlanTest, AReplicaStartsBesideWhatRunsThoughTheRoomIsReservedLater) {
+  const auto starts = round();
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].job_id, replica_.job_id);
+  std::vector<Moved> moved;
+  EXPECT_TRUE(round(&moved).empty());
+  EXPECT_TRUE(reservations_.at(later_.job_id).places.empty() ||
+              reservations_.at(later_.job_id).start > testing::at(150))
+      << "what stood in its way is placed again";
+}
+
+TEST_F(StandingPlanTest, AReservationOfTheSameUrgencyStays) {
+  later_.urgency = Urgency::production;
+  EXPECT_TRUE(round().empty());
+  EXPECT_EQ(reservations_.at(later_.job_id).start, testing::at(150));
+}
+
+TEST_F(StandingPlanTest, WithoutRoomBesideWhatRunsItWaits) {
+  replica_.need.cpus = 50;
+  EXPECT_TRUE(round().empty());
+  EXPECT_EQ(reservations_.at(later_.job_id).start, testing::at(150));
+}
+
 TEST(StandingQueue, IsNotGatheredInOneZoneWhileWritesAreShort) {
   Records records;
   Settings settings;
