--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -384,6 +384,14 @@
   cancel(JobId(job_id), kTries, answer);
 }
 
+JobRecord Admission::cancelled_record(JobRecord record) const {
+  record.cancelled = clock_.wall();
+  // Accepted when the state service took larger values, it may be too large to be written again.
+  // Nothing of a cancelled job starts any more: on which types it could no longer matters.
+  if (encode(record).size() > cache_.lasting_value_bytes()) record.spec.machine_types.clear();
+  return record;
+}
+
 void Admission::cancel(const JobId& job_id, int tries, Answer answer) {
   look_up(job_id, [this, job_id, tries, answer](const Found& f) {
     if (!f.ok) {
@@ -406,8 +414,7 @@
       answer(undecided());
       return;
     }
-    JobRecord record = f.job->record;
-    record.cancelled = clock_.wall();
+    const JobRecord record = cancelled_record(f.job->record);
     Txn txn;
     txn.guard(keys::job(job_id), f.job->mod_revision).put(keys::job(job_id), encode(record));
     cache_.commit(RequestPriority::binding, std::move(txn),
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -51,6 +51,7 @@
   void look_up_final(const JobId& job_id);
   void found(const JobId& job_id, const Found& result);
   void create(std::shared_ptr<JobSpec> job, int tries, Answer answer);
+  [[nodiscard]] JobRecord cancelled_record(JobRecord record) const;
   void cancel(const JobId& job_id, int tries, Answer answer);
   /// The job's state, or `if_unknown` when it was never accepted.
   void tell(const Found& f, const UserAnswer& if_unknown, const Answer& answer) const;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -340,6 +340,21 @@
   EXPECT_EQ(submit(kJob).status, 201);
 }
 
+// Accepted under the larger limit, by either version: it must still be possible to cancel it.
+TEST_F(AdmissionTest, AJobWhoseRecordHasBecomeTooLargeCanBeCancelled) {
+  std::string text = kJob;
+  std::string types = "[\"g8\"";
+  for (int i = 0; i < 20; ++i) types += ",\"" + std::string(90, 'g') + "\"";
+  text.replace(text.find("[\"g8\"]"), 6, types + "]");
+  ASSERT_EQ(submit(text).status, 201);
+  store_.announce_limits(2048, 5);
+  store_.enforces_announced = true;
+  const UserAnswer answer = abort("req-000412");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_NE(answer.body.find("\"cancelled\""), std::string::npos);
+  EXPECT_LE(store_.get("mv/jobs/req-000412")->value.size(), 2048U);
+}
+
 TEST_F(AdmissionTest, WhatCanNeverRunIs422) {
   EXPECT_EQ(submit(changed("\"vision\"", "\"nobody\"")).status, 422);
   EXPECT_EQ(submit(changed("\"accelerators\":1.0", "\"accelerators\":3.0")).status, 422);
