--- a/src/planner/planner.cpp
+++ b/src/planner/planner.cpp
@@ -346,26 +346,42 @@
 }
 
 std::optional<Plan> Planner::take_precedence(const QueueItem& item) {
-  if (!item.demand.job->endless()) return std::nullopt;
+  const JobSpec& job = *item.demand.job;
+  if (!job.endless()) return std::nullopt;
   const Plan plan = profile_.beside_running(item.demand, now_);
   if (plan.placements.empty()) return std::nullopt;
-  std::unordered_set<MachineId> wanted;
+  const Lane* team = profile_.team(job.team);
+  const Resources wanted = job.need * static_cast<double>(plan.placements.size());
+  if (team != nullptr && !team->takes(wanted, now_, plan.end())) return std::nullopt;
+  // Looked at before any gives way: a job that waits here for long must not break the reservations
+  // of others in every round.
+  const std::vector<const QueueItem*> in_the_way = reserved_on(plan, item.job_id);
+  const bool all_lower = std::all_of(
+      in_the_way.begin(), in_the_way.end(),
+      [&job](const QueueItem* other) { return other->demand.job->urgency < job.urgency; });
+  if (!all_lower) return std::nullopt;
+  // The next round places them again, and notes what that costs them.
+  for (const QueueItem* other : in_the_way) profile_.release(other->owner);
+  if (!holds(plan, item.demand)) return std::nullopt;
+  return plan;
+}
+
+std::vector<const QueueItem*> Planner::reserved_on(const Plan& plan, const JobId& except) const {
+  std::unordered_set<MachineId> machine_ids;
   for (const Placement& place : plan.placements) {
-    wanted.insert(profile_.machines()[place.machine].machine_id);
+    machine_ids.insert(profile_.machines()[place.machine].machine_id);
   }
-  for (const QueueItem& other : queue_) {
-    const auto r = reservations_.find(other.job_id);
-    if (r == reservations_.end() || other.job_id == item.job_id) continue;
-    if (other.demand.job->urgency >= item.demand.job->urgency) continue;
+  std::vector<const QueueItem*> out;
+  for (const QueueItem& item : queue_) {
+    const auto r = reservations_.find(item.job_id);
+    if (r == reservations_.end() || item.job_id == except) continue;
     const auto& places = r->second.places;
-    const bool in_the_way = std::any_of(places.begin(), places.end(), [&](const auto& place) {
-      return wanted.contains(place.machine_id);
+    const bool there = std::any_of(places.begin(), places.end(), [&](const auto& place) {
+      return machine_ids.contains(place.machine_id);
     });
-    // The next round places it again, and notes what that costs it.
-    if (in_the_way) profile_.release(other.owner);
+    if (there) out.push_back(&item);
   }
-  if (!holds(plan, item.demand)) return std::nullopt;
-  return plan;
+  return out;
 }
 
 void Planner::begin_now(QueueItem& item, const Plan& plan) {
--- a/src/planner/planner.hpp
+++ b/src/planner/planner.hpp
@@ -127,6 +127,9 @@
   /// A standing job never fits before reservations, as it has no end. It starts all the same where
   /// nothing runs, if only reservations of lower urgency are in its way: these are placed again.
   std::optional<Plan> take_precedence(const QueueItem& item);
+  /// Those in the queue, other than `except`, that have a place on one of the plan's machines.
+  [[nodiscard]] std::vector<const QueueItem*> reserved_on(const Plan& plan,
+                                                          const JobId& except) const;
   /// True when trying would fail as it did before.
   [[nodiscard]] bool still_hopeless(const QueueItem& item) const;
   void note_failed_start(const QueueItem& item);
--- a/tests/standing_jobs_test.cpp
+++ b/tests/standing_jobs_test.cpp
@@ -306,6 +306,30 @@
   EXPECT_EQ(reservations_.at(later_.job_id).start, testing::at(150));
 }
 
+// Where another of the same urgency keeps it out, the others' reservations are not broken in vain.
+TEST_F(StandingPlanTest, NoReservationGivesWayInVain) {
+  JobSpec equal = later_;
+  equal.job_id = JobId("req-equal");
+  equal.urgency = Urgency::production;
+  Reservation r = reservations_.at(later_.job_id);
+  r.places[0].start = testing::at(210);
+  r.places[0].end = testing::at(270);
+  r.first = r.start = testing::at(210);
+  r.end = testing::at(270);
+  reservations_[equal.job_id] = r;
+  std::vector<QueueItem> queue{testing::item(replica_, 1, 100), testing::item(later_, 2, 50),
+                               testing::item(equal, 3, 60)};
+  Planner planner(std::move(profile_), queue, reservations_, failed_, testing::at(100),
+                  [](double) { return false; });
+  planner.restore();
+  planner.admit_arrivals();
+  std::size_t cursor = 0;
+  EXPECT_TRUE(planner.compress(cursor).empty());
+  profile_ = planner.take_profile();
+  EXPECT_TRUE(profile_.intact(Owner{2})) << "its reservation stands as before";
+  EXPECT_TRUE(profile_.intact(Owner{3}));
+}
+
 TEST_F(StandingPlanTest, WithoutRoomBesideWhatRunsItWaits) {
   replica_.need.cpus = 50;
   EXPECT_TRUE(round().empty());
