--- a/src/store/compact_encoding.cpp
+++ b/src/store/compact_encoding.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint64_t kLowBits = 0x7F;
 constexpr std::uint64_t kMoreFollows = 0x80;
 constexpr unsigned kMaxShift = 63;
+/// Milliseconds, or larger units: hundreds of years.
+constexpr std::uint64_t kMaxTime = std::uint64_t{1} << 43;
 /// Longer numbers in names are kept as texts.
 constexpr std::size_t kMaxDigits = 15;
 
@@ -62,6 +64,21 @@
   return static_cast<std::int64_t>((bits >> 1) ^ sign);
 }
 
+std::uint64_t ByteReader::time() {
+  const std::uint64_t out = number();
+  if (out <= kMaxTime) return out;
+  ok_ = false;
+  return 0;
+}
+
+std::int64_t ByteReader::signed_time() {
+  const std::int64_t out = signed_number();
+  constexpr auto kMost = static_cast<std::int64_t>(kMaxTime);
+  if (out <= kMost && out >= -kMost) return out;
+  ok_ = false;
+  return 0;
+}
+
 MachineNames::MachineNames(std::string prefix, std::uint64_t digits,
                            std::vector<std::string> others)
     : prefix_(std::move(prefix)), digits_(digits), others_(std::move(others)) {}
--- a/src/store/compact_encoding.hpp
+++ b/src/store/compact_encoding.hpp
@@ -29,6 +29,10 @@
   explicit ByteReader(const std::string& base64);
   std::uint64_t number();
   std::int64_t signed_number();
+  /// As above, for times: one that is far from any real one is a fault, so that sums of them can't
+  /// overflow.
+  std::uint64_t time();
+  std::int64_t signed_time();
   [[nodiscard]] bool ok() const { return ok_; }
 
  private:
--- a/src/store/machine_page_codec.cpp
+++ b/src/store/machine_page_codec.cpp
@@ -124,8 +124,7 @@
   [[nodiscard]] std::string finish() const {
     json::Writer out;
     out.open().put("v", kCompactPageFormat).put("base", base_).put("m", bytes_.base64());
-    out.put("host", names_.prefix()).put("digits", names_.digits());
-    record_fields::write_texts(out, "hosts", names_.others());
+    record_fields::write_names(out, names_);
     record_fields::write_texts(out, "at", addresses_);
     record_fields::write_texts(out, "texts", texts_);
     out.key("gb").open_list();
@@ -165,13 +164,9 @@
   bool open(const json::Value& v) {
     const auto machines = json::text(v, "m");
     const auto base = json::integer(v, "base");
-    const auto prefix = json::text(v, "host");
-    const auto digits = json::count(v, "digits");
     const json::Value* image_gb = json::list(v, "gb");
-    std::vector<std::string> others;
-    if (!machines || !base || !prefix || !digits || image_gb == nullptr ||
-        !read_texts(v, "hosts", others) || !read_texts(v, "at", addresses_) ||
-        !read_texts(v, "texts", texts_)) {
+    if (!machines || !base || image_gb == nullptr || !record_fields::read_names(v, names_) ||
+        !read_texts(v, "at", addresses_) || !read_texts(v, "texts", texts_)) {
       return false;
     }
     for (const auto& gb : image_gb->GetArray()) {
@@ -179,7 +174,6 @@
       image_gb_.push_back(gb.GetDouble());
     }
     base_ = *base;
-    names_ = MachineNames(*prefix, *digits, std::move(others));
     bytes_ = ByteReader(*machines);
     return true;
   }
@@ -204,8 +198,8 @@
     const auto name = names_.name_of(bytes_.number());
     if (!name || !read_text(out.machine_type) || !read_text(out.zone)) return false;
     out.machine_id = MachineId(*name);
-    out.since = WallTime{base_ + bytes_.signed_number()};
-    if ((head & kHasReclaim) != 0) out.reclaim_at = WallTime{base_ + bytes_.signed_number()};
+    out.since = WallTime{base_ + bytes_.signed_time()};
+    if ((head & kHasReclaim) != 0) out.reclaim_at = WallTime{base_ + bytes_.signed_time()};
     if ((head & kHasBlamed) != 0 && !read_text(out.blamed)) return false;
     return read_images(out) && bytes_.ok();
   }
--- a/src/store/record_fields.hpp
+++ b/src/store/record_fields.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/time.hpp"
+#include "store/compact_encoding.hpp"
 #include "wire/json.hpp"
 
 namespace marblevale::record_fields {
@@ -54,4 +55,19 @@
   out.close_list();
 }
 
+/// Machine names of a compact record, as `read_names` reads them.
+inline void write_names(json::Writer& out, const MachineNames& names) {
+  out.put("host", names.prefix()).put("digits", names.digits());
+  write_texts(out, "hosts", names.others());
+}
+
+inline bool read_names(const json::Value& v, MachineNames& out) {
+  const auto prefix = json::text(v, "host");
+  const auto digits = json::count(v, "digits");
+  std::vector<std::string> others;
+  if (!prefix || !digits || !read_texts(v, "hosts", others)) return false;
+  out = MachineNames(*prefix, *digits, std::move(others));
+  return true;
+}
+
 }  // namespace marblevale::record_fields
--- a/src/store/slice_codec.cpp
+++ b/src/store/slice_codec.cpp
@@ -114,6 +114,7 @@
   std::int64_t time_unit_ms;
   bool every_reason;
 };
+constexpr std::int64_t kMaxUnitMs = 1000;
 constexpr std::array<CompactDetail, 3> kCompactDetails{{{1, true}, {1000, true}, {1000, false}}};
 
 /// The head of a task in the compact form: its state, and which other fields follow.
@@ -149,8 +150,7 @@
 
   void write_to(json::Writer& out) const {
     out.put("unit", detail_.time_unit_ms).put("tasks", bytes_.base64());
-    out.put("host", names_.prefix()).put("digits", names_.digits());
-    record_fields::write_texts(out, "hosts", names_.others());
+    record_fields::write_names(out, names_);
     record_fields::write_texts(out, "zones", zones_);
     record_fields::write_texts(out, "reasons", reasons_);
   }
@@ -192,17 +192,13 @@
     const auto tasks = json::text(v, "tasks");
     const auto unit = json::integer(v, "unit");
     const auto base = json::integer(v, "base");
-    const auto prefix = json::text(v, "host");
-    const auto digits = json::count(v, "digits");
-    std::vector<std::string> others;
-    if (!tasks || !unit || !base || !prefix || !digits || *unit <= 0 ||
-        !read_texts(v, "hosts", others) || !read_texts(v, "zones", zones_) ||
+    if (!tasks || !unit || !base || *unit <= 0 || *unit > kMaxUnitMs ||
+        !record_fields::read_names(v, names_) || !read_texts(v, "zones", zones_) ||
         !read_texts(v, "reasons", reasons_)) {
       return false;
     }
     unit_ms_ = *unit;
     base_ = *base;
-    names_ = MachineNames(*prefix, *digits, std::move(others));
     bytes_ = ByteReader(*tasks);
     return true;
   }
@@ -241,11 +237,11 @@
     return name.has_value();
   }
   WallTime time() {
-    const std::uint64_t units = bytes_.number();
+    const std::uint64_t units = bytes_.time();
     if (units == 0) return WallTime{0};
     return WallTime{base_ + static_cast<std::int64_t>(units - 1) * unit_ms_};
   }
-  Duration duration() { return Duration{static_cast<std::int64_t>(bytes_.number()) * unit_ms_}; }
+  Duration duration() { return Duration{static_cast<std::int64_t>(bytes_.time()) * unit_ms_}; }
 
   std::int64_t base_ = 0;
   std::int64_t unit_ms_ = 1;
--- a/tests/lowered_limits_test.cpp
+++ b/tests/lowered_limits_test.cpp
@@ -4,6 +4,7 @@
 #include "holder_fixture.hpp"
 #include "leader_fixture.hpp"
 #include "planner/open_releases.hpp"
+#include "store/compact_encoding.hpp"
 
 namespace marblevale {
 namespace {
@@ -137,6 +138,13 @@
                                R"("tasks":"","host":"","digits":0,"hosts":[],"zones":[],)"
                                R"("reasons":[]})"));
   EXPECT_FALSE(decode(doc, out)) << "a task is missing";
+  ByteWriter far;
+  for (const std::uint64_t n : {std::uint64_t{0}, std::uint64_t{1}, ~std::uint64_t{0}}) far.put(n);
+  ASSERT_TRUE(json::parse(
+      doc, R"({"v":3,"uid":"req-1","n":0,"count":1,"base":9000000000000000000,)"
+           R"("unit":1000,"tasks":")" +
+               far.base64() + R"(","host":"","digits":0,"hosts":[],"zones":[],"reasons":[]})"));
+  EXPECT_FALSE(decode(doc, out)) << "a time that would overflow";
 }
 
 MachinePage largest_page(bool blamed) {
