--- a/tests/standing_jobs_test.cpp
+++ b/tests/standing_jobs_test.cpp
@@ -158,6 +158,23 @@
   for (const TaskRecord& task : tasks("req-1")) EXPECT_EQ(task.state, TaskState::released);
 }
 
+TEST_F(StandingLeaderTest, DoneReplicasInAllSlicesEndNoJob) {
+  begin();
+  const JobSpec spec = standing("req-1", kSliceTasks + 1, 0);
+  for (std::uint32_t number = 0; number < slice_count(spec); ++number) {
+    SliceRecord slice;
+    slice.job_id = spec.job_id;
+    slice.number = number;
+    slice.tasks.resize(slice_size(spec, number));
+    for (TaskRecord& task : slice.tasks) task.state = TaskState::done;
+    store_.put(keys::slice(slice.job_id, number), encode(slice));
+  }
+  submit(spec);
+  run(Duration{12'000});
+  EXPECT_TRUE(store_.get(keys::job(spec.job_id)));
+  EXPECT_FALSE(store_.get(keys::final_job(spec.job_id)));
+}
+
 TEST_F(StandingLeaderTest, ACancelledOneEndsOnceNothingOfItIsPlaced) {
   machine("vm-1");
   begin();
