Review: one gang of 100,000 tasks ends every controller for memory

A valid job with the most tasks that the protocol allows makes the leader hold about 90 MB, where the smaller deployment gives 56. Each next leader ends the same way.

--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -647,6 +647,7 @@
   std::map<string, std::pair<double, double>> teams{
       {"soins-nord", {8, 24}},   {"transit-estrie", {16, 40}}, {"preposes-mtl", {16, 64}},
       {"urgence-qc", {16, 40}}, {"entretien-sag", {16, 40}}};
+  double ram_mb = 56;
   int capacity = 9;  // machines of each zone and kind
   string extra;      // further lines of [cluster.state]
 };
@@ -721,7 +722,8 @@
              s.value_kb, s.txn_ops)
       << s.extra << "[cluster.cloud]\n"
       << cat("rps = %.1f\nlist_lag_s = %.1f\n", s.cloud_rps, s.list_lag)
-      << "[cluster.machine_limits]\ncore_share = 0.04\nram_mb = 56.0\nmax_sockets = 700\n";
+      << "[cluster.machine_limits]\ncore_share = 0.04\nram_mb = "
+      << cat("%.1f", s.ram_mb) << "\nmax_sockets = 700\n";
     FILE* f = std::fopen((dir + "/" + n.name + ".toml").c_str(), "w");
     std::fputs(o.str().c_str(), f);
     std::fclose(f);
