--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -640,7 +640,9 @@
   pid_t pid = 0;
   bool stopped = false;
   int starts = 0;
-  bool workers_cut = false;  // workers can't reach it
+  bool workers_cut = false;  // it and the workers can't reach each other
+  std::set<u64> tokens;      // of its answers to reports
+  std::vector<std::function<void()>> held_orders;
 };
 
 struct Settings {
@@ -769,6 +771,18 @@
     if (sig == SIGSTOP) n.stopped = true;
     if (sig == SIGCONT) n.stopped = false;
   }
+  // The controller and the workers can't reach each other; what it sends them is held.
+  void cut_workers(std::size_t i, bool on) {
+    Node& n = *nodes[i];
+    n.workers_cut = on;
+    note("%s and the workers %s", n.name.c_str(), on ? "can't reach each other" : "are connected");
+    if (!on)
+      for (auto& order : std::exchange(n.held_orders, {})) order();
+  }
+  void cut_state(std::size_t i, bool on) {
+    store.fronts[nodes[i]->front]->mode = on ? Front::Mode::silent : Front::Mode::ok;
+    note("%s %s the state service", nodes[i]->name.c_str(), on ? "loses" : "reaches");
+  }
   void end_all() {
     for (std::size_t i = 0; i < nodes.size(); ++i) signal_node(i, SIGKILL);
   }
@@ -1127,6 +1141,13 @@
     q.reply(200, report());
     return;
   }
+  Doc sent;
+  sent.Parse(q.body.c_str());
+  for (auto& n : w.nodes) {
+    if (!n->workers_cut || sent.HasParseError() || !n->tokens.count(num(sent, "warrant"))) continue;
+    n->held_orders.push_back([this, q] { serve(q); });
+    return;
+  }
   const bool late = uni() < late_commands;
   auto run = [this, q, late] {
     if (gone_at >= 0) return;
@@ -1343,6 +1364,7 @@
       }
     }
     lease_from = std::max(lease_from, sent);
+    w.node(node).tokens.insert(num(d, "warrant"));
     if (holder != static_cast<int>(node))
       note("%s: its reports are answered 200 by hub-%zu now, token %llu", id.c_str(), node,
            static_cast<unsigned long long>(warrant));
