--- a/review/standins/largest_job.cpp
+++ b/review/standins/largest_job.cpp
@@ -105,7 +105,9 @@
   for (auto& [i, mb] : highest_mb) note("hub-%zu held up to %.1f MB", i, mb);
   note("controllers ended for memory: %d; tasks started: %ld", ended_for_memory, w.starts);
   w.end_all();
-  const bool could_run = accepted == kSmallJobs && !w.ended_by_itself &&
+  const bool measured = std::all_of(highest_mb.begin(), highest_mb.end(),
+                                    [](const auto& entry) { return entry.second > 0; });
+  const bool could_run = accepted == kSmallJobs && !w.ended_by_itself && measured &&
                          (!trouble || w.jobs.at(kLargest).accepted);
   if (violations.empty() && could_run) note("the rule held");
   return !could_run ? 2 : violations.empty() ? 0 : 1;
