--- a/review/standins/stale_deletion.cpp
+++ b/review/standins/stale_deletion.cpp
@@ -1,5 +1,5 @@
 // A controller holds the shard of a zone. A machine of the zone hangs for 10 s; a user cancels one
-// of its two jobs; the controller stands still for 35 s. Another controller takes the shard over,
+// of its two jobs; the controller stands still for 34 s. Another controller takes the shard over,
 // and ends the cancelled task. Then the first controller goes on.
 //
 // Arguments: folder for settings and logs, file for the record, 1 or 0 (trouble), command and
@@ -10,7 +10,7 @@
 using namespace sim;
 
 namespace {
-constexpr double kHang = 10, kStandStill = 35;
+constexpr double kHang = 10, kStandStill = 34;
 const string kCancelled = "req-000001", kHealthy = "req-000002", kMachine = "vm-000001";
 World w;
 std::size_t replaced = 0;  // the controller that stands still
