--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -14,6 +14,18 @@
 constexpr Duration kUnreadyAfterStoreOutage{6'000};
 constexpr Duration kSummaryInterval{30'000};
 
+std::uint64_t count_tasks(const Records& records) {
+  std::uint64_t tasks = 0;
+  for (const auto& [key, slice] : records.slices) tasks += slice.record.tasks.size();
+  return tasks;
+}
+
+std::uint64_t count_placed_tasks(const Records& records) {
+  std::uint64_t tasks = 0;
+  for (const auto& [machine_id, placed] : records.placed) tasks += placed.size();
+  return tasks;
+}
+
 }  // namespace
 
 Service::Service(Loop& loop, const Clock& clock, const Settings& settings,
@@ -51,7 +63,26 @@
                    [this](const HttpRequest& request, const ResponderPtr& responder) {
                      user_router_.serve(request, responder);
                    }),
-      summary_timer_(loop, [this] { log_summary(); }) {}
+      summary_timer_(loop, [this] { log_summary(); }),
+      memory_report_(loop, clock, settings.machine_memory_mb) {}
+
+void Service::track_held_amounts() {
+  const Records& records = cache_.records();
+  memory_report_.track("jobs", [&records] { return records.jobs.size(); });
+  memory_report_.track("slices", [&records] { return records.slices.size(); });
+  memory_report_.track("recorded_tasks", [&records] { return count_tasks(records); });
+  memory_report_.track("placed_tasks", [&records] { return count_placed_tasks(records); });
+  memory_report_.track("open_releases", [this] { return leader_loop_.held().open_releases; });
+  memory_report_.track("releasing_tasks", [this] { return leader_loop_.held().releasing_tasks; });
+  memory_report_.track("reserved_tasks", [this] { return leader_loop_.held().reserved_tasks; });
+  memory_report_.track("reported_tasks", [this] { return shard_holder_.reported_tasks(); });
+  memory_report_.track("store_requests",
+                       [this] { return store_.request_queue().waiting_requests(); });
+  memory_report_.track("store_request_bytes",
+                       [this] { return store_.request_queue().waiting_bytes(); });
+  memory_report_.track("unsent_bytes", [this] { return store_.unsent_bytes(); });
+  metrics_.on_checkpoint([this](const char* step) { memory_report_.sample(step); });
+}
 
 void Service::begin() {
   leader_loop_.offer_releases_through(offers_);
@@ -68,6 +99,8 @@
   shard_holder_.begin();
   peer_heartbeats_.begin();
   summary_timer_.start(kSummaryInterval);
+  track_held_amounts();
+  memory_report_.begin();
   spdlog::info("service: started max_worker_connections={}", max_order_connections(settings_));
 }
 
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "api/job_api.hpp"
+#include "app/memory_report.hpp"
 #include "app/startup_times.hpp"
 #include "app/user_router.hpp"
 #include "autoscaler/autoscaler.hpp"
@@ -35,6 +36,8 @@
   void extend_record_freshness();
   void on_peer_heartbeat(const PeerHeartbeat& heartbeat, PeerHeartbeatDelivery delivery);
   void log_summary();
+  /// Registers what the components hold with the memory report.
+  void track_held_amounts();
 
   Metrics& metrics_;
   const Clock& clock_;
@@ -59,6 +62,7 @@
   UserRouter user_router_;
   HttpServer user_server_;
   Timer summary_timer_;
+  MemoryReport memory_report_;
 };
 
 }  // namespace marblevale
--- a/src/core/metrics.hpp
+++ b/src/core/metrics.hpp
@@ -6,8 +6,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace marblevale {
 
@@ -57,6 +59,15 @@
   /// Adds to the count of the named event. The name appears unchanged in the log.
   void count(const std::string& event, std::uint64_t increment = 1) { events_[event] += increment; }
 
+  /// Calls the observer at each `checkpoint`.
+  void on_checkpoint(std::function<void(const char* step)> observer) {
+    checkpoint_observer_ = std::move(observer);
+  }
+  /// Marks the end of a step that may hold much memory. `step` is a string literal.
+  void checkpoint(const char* step) const {
+    if (checkpoint_observer_) checkpoint_observer_(step);
+  }
+
   /// Returns one line with the times and counts since the last call, and clears them.
   [[nodiscard]] std::string summary();
 
@@ -70,6 +81,7 @@
 
   std::array<DutyTime, kDutyCount> duties_;
   std::map<std::string, std::uint64_t> events_;
+  std::function<void(const char*)> checkpoint_observer_;
 };
 
 }  // namespace marblevale
--- a/src/leader/leader_loop.cpp
+++ b/src/leader/leader_loop.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kChangeCoalesceInterval{15};
 constexpr Duration kMinRoundDelay{5};
 constexpr Duration kSummaryInterval{10'000};
+/// Tasks that start in one round from which on the memory report is informed.
+constexpr std::size_t kWideRelease = 4'096;
 
 /// Parses the key that the watch cache reports for a slice: "job/number".
 SliceKey parse_slice_key(const std::string& key) {
@@ -25,6 +27,13 @@
           static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)))};
 }
 
+/// True when the starts have so many tasks that their release may hold much memory.
+bool is_wide(const std::vector<JobStart>& starts) {
+  std::size_t tasks = 0;
+  for (const JobStart& start : starts) tasks += start.task_indices.size();
+  return tasks >= kWideRelease;
+}
+
 }  // namespace
 
 LeaderLoop::LeaderLoop(Loop& loop, const Clock& clock, const Settings& settings, WatchCache& cache,
@@ -108,6 +117,11 @@
   unreachable_zones_.report(holder, std::move(zones), clock_.steady());
 }
 
+LeaderHoldings LeaderLoop::held() const {
+  const OpenReleases& open = releaser_.open_releases();
+  return {open.size(), open.task_count(), planning_.reserved_tasks()};
+}
+
 void LeaderLoop::transition(State next) {
   if (next == state_) return;
   spdlog::info("leader: state_changed state={}", next == State::leading ? "leading" : "idle");
@@ -206,7 +220,9 @@
   // The queue of this round still contains the jobs that start now. The next round sees them as
   // placed.
   const std::vector<JobStart> starts = compress(planner);
+  if (is_wide(starts)) metrics_.checkpoint("planned");
   releaser_.release_all(starts, planner);
+  if (is_wide(starts)) metrics_.checkpoint("released");
   const bool complete = admitted && compression_cursor_ == 0;
   // Preemption makes the best choices when nothing more can start. Under load every round starts
   // jobs or runs out of budget, so an overdue preemption runs in such a round too.
--- a/src/leader/leader_loop.hpp
+++ b/src/leader/leader_loop.hpp
@@ -30,6 +30,13 @@
 
 namespace marblevale {
 
+/// What the leader holds in memory for the jobs that it starts.
+struct LeaderHoldings {
+  std::size_t open_releases = 0;
+  std::size_t releasing_tasks = 0;  // tasks in the slices of open releases
+  std::size_t reserved_tasks = 0;   // places in reservations
+};
+
 /// Owns the modules of a round and runs them in a fixed order, each round on the loop's timer.
 class LeaderLoop {
  public:
@@ -43,6 +50,7 @@
   void offer_releases_through(OfferChannel& channel) { releaser_.offer_through(channel); }
   /// Records which zones the controller `holder` reports as unreachable. See `UnreachableZones`.
   void note_unreachable_zones(const NodeId& holder, std::set<ZoneId> zones);
+  [[nodiscard]] LeaderHoldings held() const;
 
  private:
   enum class State { idle, leading };
--- a/src/leader/open_releases.cpp
+++ b/src/leader/open_releases.cpp
@@ -314,6 +314,14 @@
   return out;
 }
 
+std::size_t OpenReleases::task_count() const {
+  std::size_t tasks = 0;
+  for (const auto& [id, release] : open_) {
+    for (const GuardedSlice& slice : release.slices) tasks += slice.after.tasks.size();
+  }
+  return tasks;
+}
+
 std::optional<OpenReleases::State> OpenReleases::state(const SliceKey& key) const {
   const auto id = by_slice_.find(key);
   if (id == by_slice_.end()) return std::nullopt;
--- a/src/leader/open_releases.hpp
+++ b/src/leader/open_releases.hpp
@@ -115,6 +115,8 @@
   [[nodiscard]] std::vector<SliceKey> unsettled_for(Duration min_time, SteadyTime now) const;
 
   [[nodiscard]] std::size_t size() const { return open_.size(); }
+  /// The tasks in the slices of the open changes.
+  [[nodiscard]] std::size_t task_count() const;
   /// Number of offers that wait for the holder's binding or for the leader's own commit.
   [[nodiscard]] std::size_t open_offers() const;
   /// Number of offers that this holder still has time to bind.
--- a/src/leader/planning_state.cpp
+++ b/src/leader/planning_state.cpp
@@ -43,6 +43,12 @@
   occupancy_.sync(records, settings.teams, pending, booting, now);
 }
 
+std::size_t PlanningState::reserved_tasks() const {
+  std::size_t tasks = 0;
+  for (const auto& [job_id, reservation] : reservations_) tasks += reservation.places.size();
+  return tasks;
+}
+
 void PlanningState::retain_only(const std::unordered_set<JobId>& queued_jobs) {
   std::erase_if(reservations_, [&](const auto& entry) {
     if (queued_jobs.contains(entry.first)) return false;
--- a/src/leader/planning_state.hpp
+++ b/src/leader/planning_state.hpp
@@ -49,6 +49,8 @@
 
   /// The reservations by job. `GuaranteeWriter` writes them as guarantees.
   [[nodiscard]] Reservations& reservations() { return reservations_; }
+  /// The places in all reservations.
+  [[nodiscard]] std::size_t reserved_tasks() const;
 
  private:
   Occupancy occupancy_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -65,6 +65,12 @@
          });
 }
 
+std::size_t HttpClient::queued_bytes() const {
+  std::size_t bytes = 0;
+  for (const QueuedRequest& request : queue_) bytes += request.call.body.size();
+  return bytes;
+}
+
 void HttpClient::send(HttpCall call, HttpHandler handler) {
   if (queue_.empty()) {
     const auto available = std::find_if(
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -57,6 +57,8 @@
   void send(HttpCall call, HttpHandler handler);
   /// True when no request is queued or in flight.
   [[nodiscard]] bool idle() const;
+  /// The bytes of the bodies of the requests that wait for a connection.
+  [[nodiscard]] std::size_t queued_bytes() const;
 
  private:
   struct Connection;
--- a/src/shards/shard_holder.hpp
+++ b/src/shards/shard_holder.hpp
@@ -47,6 +47,8 @@
   [[nodiscard]] std::vector<MachineId> machines_past_cancellation_deadline() const {
     return deadlines_.machines_past_deadline(workers_);
   }
+  /// The tasks in the last heartbeats of the known workers.
+  [[nodiscard]] std::size_t reported_tasks() const { return workers_.reported_tasks(); }
   /// Records that all peers have attested that every cancellation confirmed up to `until` is known
   /// to this controller.
   void extend_cancellation_freshness(SteadyTime until) { deadlines_.extend_freshness(until); }
--- a/src/shards/worker_registry.cpp
+++ b/src/shards/worker_registry.cpp
@@ -104,6 +104,12 @@
   unreachable_zones_ = std::move(still_unreachable);
 }
 
+std::size_t WorkerRegistry::reported_tasks() const {
+  std::size_t tasks = 0;
+  for (const auto& [machine_id, worker] : workers_) tasks += worker.status.tasks.size();
+  return tasks;
+}
+
 Duration WorkerRegistry::excluded_time(SteadyTime now, Duration pause) const {
   // While the records are stale, another controller may hold the shard and receive the workers'
   // heartbeats.
--- a/src/shards/worker_registry.hpp
+++ b/src/shards/worker_registry.hpp
@@ -66,6 +66,8 @@
   /// longer send heartbeats.
   void forget_gone(SteadyTime now);
 
+  /// The tasks in the last heartbeats of all workers.
+  [[nodiscard]] std::size_t reported_tasks() const;
   /// Returns true for a known worker whose heartbeats are missing or that commands do not reach.
   [[nodiscard]] bool is_silent(const MachineId& machine_id) const;
   [[nodiscard]] bool is_heartbeating(const KnownWorker& worker, SteadyTime now) const {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -28,6 +28,9 @@
   [[nodiscard]] const StoreLimits& limits() const override { return limits_; }
   void lower_limits(LimitsEvidence evidence) override;
   [[nodiscard]] double write_slack() override;
+  /// The requests that wait for the budget or for a connection.
+  [[nodiscard]] const RequestQueue& request_queue() const { return queue_; }
+  [[nodiscard]] std::size_t unsent_bytes() const { return http_.queued_bytes(); }
 
  private:
   void log_oversized_values(const Transaction& txn) const;
--- a/src/store/request_queue.cpp
+++ b/src/store/request_queue.cpp
@@ -29,6 +29,20 @@
   return queues_.at(static_cast<std::size_t>(priority));
 }
 
+std::size_t RequestQueue::waiting_requests() const {
+  std::size_t requests = 0;
+  for (const Queue& queue : queues_) requests += queue.size();
+  return requests;
+}
+
+std::size_t RequestQueue::waiting_bytes() const {
+  std::size_t bytes = 0;
+  for (const Queue& queue : queues_) {
+    for (const Request& request : queue) bytes += request.call.body.size();
+  }
+  return bytes;
+}
+
 bool RequestQueue::holds_important_requests() const {
   constexpr auto kLast = static_cast<std::ptrdiff_t>(RequestPriority::leader_commit);
   return std::any_of(queues_.begin(), queues_.begin() + kLast + 1,
--- a/src/store/request_queue.hpp
+++ b/src/store/request_queue.hpp
@@ -22,6 +22,9 @@
 
   /// `writes`: the puts and deletes of the request, which count against the write rate.
   void enqueue(RequestPriority priority, HttpCall call, double writes, HttpHandler then);
+  /// The requests that wait, and the bytes of their bodies.
+  [[nodiscard]] std::size_t waiting_requests() const;
+  [[nodiscard]] std::size_t waiting_bytes() const;
   /// True while a request of priority `leader_commit` or higher waits.
   [[nodiscard]] bool holds_important_requests() const;
 
