A machine gets no more tasks than its heartbeat can name

Cause, of what was begun: nothing bounded the tasks of a machine but its CPUs and memory, so twelve machines were given 8,333 tasks each. A heartbeat is a request of at most 64 KiB and names every task, so such a machine can't report: its lease expires, its tasks end, and the gang is begun again by this leader and the next.

Change: tasks are a resource of their own. A task needs one, a machine has 256: 64 KiB by 128 B a task, half of it for tasks that have ended and are not cleared. Planner, preemption, starvation check and binding use it like CPUs. A gang that does not fit by it stays accepted and waits, as one that does not fit by its CPUs does. Stored forms and messages keep their bytes.

--- a/src/api/job_submission.cpp
+++ b/src/api/job_submission.cpp
@@ -6,12 +6,12 @@
 
 #include "api/feasibility.hpp"
 #include "api/job_status.hpp"
+#include "protocol/limits.hpp"
 
 namespace marblevale {
 
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024;
 constexpr int kMaxCommitAttempts = 3;
 constexpr std::chrono::seconds kMachineTypesRetryAfter{1};
 constexpr std::chrono::seconds kOpenJobLimitRetryAfter{10};
@@ -20,7 +20,7 @@
 
 std::variant<ParsedSubmission, UserAnswer> parse_submission(const std::string& body) {
   ParsedSubmission submission;
-  if (body.size() > kMaxBodyBytes) return error_answer(400, "the body is over 64 KiB");
+  if (body.size() > kMaxRequestBytes) return error_answer(400, "the body is over 64 KiB");
   if (!json::parse(submission.document, body)) return error_answer(400, "not a JSON object");
   const auto job_id = json::text(submission.document, "uid");
   if (!job_id || !valid_job_id(*job_id)) return error_answer(400, "uid: missing or invalid");
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -170,13 +170,14 @@
 }  // namespace
 
 Resources Team::limit() const {
-  return {max_cpus > 0 ? max_cpus : kUnlimited, max_gpus > 0 ? max_gpus : kUnlimited, kUnlimited};
+  return {max_cpus > 0 ? max_cpus : kUnlimited, max_gpus > 0 ? max_gpus : kUnlimited, kUnlimited,
+          kUnlimited};
 }
 
 Resources Team::guarantee() const {
-  if (guaranteed_cpus <= 0 && guaranteed_gpus <= 0) return {0, 0, kUnlimited};
+  if (guaranteed_cpus <= 0 && guaranteed_gpus <= 0) return {0, 0, kUnlimited, kUnlimited};
   return {guaranteed_cpus > 0 ? guaranteed_cpus : kUnlimited,
-          guaranteed_gpus > 0 ? guaranteed_gpus : kUnlimited, kUnlimited};
+          guaranteed_gpus > 0 ? guaranteed_gpus : kUnlimited, kUnlimited, kUnlimited};
 }
 
 const Team* Settings::team(const TeamId& name) const {
--- a/src/protocol/cloud.cpp
+++ b/src/protocol/cloud.cpp
@@ -1,5 +1,7 @@
 #include "protocol/cloud.hpp"
 
+#include "protocol/limits.hpp"
+
 namespace marblevale {
 
 namespace {
@@ -12,7 +14,8 @@
   if (!name || !cpus || !memory_gb || zones == nullptr) return std::nullopt;
   MachineType type;
   type.name = *name;
-  type.resources = {*cpus, json::number(item, "accelerators").value_or(0), *memory_gb};
+  type.resources = {*cpus, json::number(item, "accelerators").value_or(0), *memory_gb,
+                    static_cast<double>(kMaxTasksPerMachine)};
   type.cache_gb = json::number(item, "local_gb").value_or(0);
   type.pull_gb_per_s = json::number(item, "pull_gb_per_s").value_or(0);
   type.price = json::number(item, "hourly").value_or(0);
--- a/src/protocol/job_spec.cpp
+++ b/src/protocol/job_spec.cpp
@@ -132,6 +132,7 @@
 }
 
 bool read_resources(FieldReader& fields, JobSpec& job) {
+  job.need.tasks = 1;
   return fields.read_amount("cpus", kMaxAmount, job.need.cpus) &&
          fields.read_amount("accelerators", kMaxAmount, job.need.gpus) &&
          fields.read_amount("memory_gb", kMaxAmount, job.need.memory_gb);
--- a/src/scheduling/placement_search.cpp
+++ b/src/scheduling/placement_search.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 /// Free resources of a team without a limit.
-const Resources kNoLimit{1e12, 1e12, 1e12};
+const Resources kNoLimit{1e12, 1e12, 1e12, 1e12};
 }  // namespace
 
 bool PlacementSearch::team_can_fit(const Demand& demand, WallTime at) const {
