A wide gang's release is held once and sent in bounded steps

Cause: all 1,563 slices were made at once, and each was held in the request, in its transaction, in its step and the step's transaction, in the open releases, and encoded in the requests that waited. Each slice also walked all tasks of the gang, and each guard was searched among all.

Change: an open change holds each slice once, decoded, and its guards; a step is encoded when it is sent. At most eight steps of wide changes are without an answer, refused ones included, so that neither an outage nor a short budget makes them pile up; the rest waits and counts in full against machines and teams. A change of one transaction never waits for steps. The order, guards and bytes of the transactions are as before. The profile reads the slices of an unchanged open change once, not in every round.

In two tests of open releases the request has no transaction any more; they check the guards of the first commit in its place.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -74,6 +74,7 @@
   memory_report_.track("placed_tasks", [&records] { return count_placed_tasks(records); });
   memory_report_.track("open_releases", [this] { return leader_loop_.held().open_releases; });
   memory_report_.track("releasing_tasks", [this] { return leader_loop_.held().releasing_tasks; });
+  memory_report_.track("unanswered_steps", [this] { return leader_loop_.held().unanswered_steps; });
   memory_report_.track("reserved_tasks", [this] { return leader_loop_.held().reserved_tasks; });
   memory_report_.track("reported_tasks", [this] { return shard_holder_.reported_tasks(); });
   memory_report_.track("store_requests",
--- a/src/leader/leader_loop.cpp
+++ b/src/leader/leader_loop.cpp
@@ -118,8 +118,8 @@
 }
 
 LeaderHoldings LeaderLoop::held() const {
-  const OpenReleases& open = releaser_.open_releases();
-  return {open.size(), open.task_count(), planning_.reserved_tasks()};
+  const OpenReleaseCounts open = releaser_.open_releases().counts();
+  return {open.changes, open.tasks, open.unanswered_steps, planning_.reserved_tasks()};
 }
 
 void LeaderLoop::transition(State next) {
--- a/src/leader/leader_loop.hpp
+++ b/src/leader/leader_loop.hpp
@@ -33,8 +33,9 @@
 /// What the leader holds in memory for the jobs that it starts.
 struct LeaderHoldings {
   std::size_t open_releases = 0;
-  std::size_t releasing_tasks = 0;  // tasks in the slices of open releases
-  std::size_t reserved_tasks = 0;   // places in reservations
+  std::size_t releasing_tasks = 0;   // tasks in the slices of open releases
+  std::size_t unanswered_steps = 0;  // see `OpenReleaseCounts`
+  std::size_t reserved_tasks = 0;    // places in reservations
 };
 
 /// Owns the modules of a round and runs them in a fixed order, each round on the loop's timer.
--- a/src/leader/open_releases.cpp
+++ b/src/leader/open_releases.cpp
@@ -19,9 +19,14 @@
 /// Maximum total size of the values of one transaction. The body is limited to 64 KiB including
 /// keys and guards.
 constexpr std::size_t kMaxTransactionBytes = std::size_t{48} * 1024;
+/// Steps of wide changes that may be without an answer at the same time. Their encoded values, and
+/// the requests that carry them, are held in memory.
+constexpr std::size_t kMaxUnansweredSteps = 8;
 
 const char* name_of(OpenReleases::State state) {
   switch (state) {
+    case OpenReleases::State::waiting:
+      return "waiting";
     case OpenReleases::State::offered:
       return "offered";
     case OpenReleases::State::sent:
@@ -61,36 +66,6 @@
   return "?";
 }
 
-std::vector<SliceChangeRequest> split_request(const SliceChangeRequest& request,
-                                              std::size_t max_operations) {
-  std::set<std::string> slice_keys;
-  for (const Put& put : request.txn.puts) slice_keys.insert(put.key);
-  SliceChangeRequest common{request.kind, {}, {}, false};
-  for (const auto& [key, mod_revision] : request.txn.guards) {
-    if (!slice_keys.contains(key)) common.txn.guard(key, mod_revision);
-  }
-  std::vector<SliceChangeRequest> steps;
-  std::size_t bytes = 0;
-  for (std::size_t i = 0; i < request.slices.size(); ++i) {
-    const Put& put = request.txn.puts[i];
-    const bool full = !steps.empty() && (steps.back().slices.size() >= max_operations ||
-                                         bytes + put.value.size() > kMaxTransactionBytes);
-    if (steps.empty() || full) {
-      steps.push_back(common);
-      bytes = 0;
-    }
-    bytes += put.value.size();
-    SliceChangeRequest& step = steps.back();
-    const auto guard = std::find_if(request.txn.guards.begin(), request.txn.guards.end(),
-                                    [&](const auto& g) { return g.key == put.key; });
-    if (guard != request.txn.guards.end()) step.txn.guard(guard->key, guard->mod_revision);
-    step.txn.put(put.key, put.value);
-    step.slices.push_back(request.slices[i]);
-  }
-  for (SliceChangeRequest& step : steps) step.is_step = steps.size() > 1;
-  return steps;
-}
-
 void OpenReleases::begin_term(ModRevision term) {
   if (term == term_) return;
   if (!open_.empty()) spdlog::info("releases: dropped_at_term_end open={}", open_.size());
@@ -99,43 +74,40 @@
   by_slice_.clear();
 }
 
-OpenReleases::Release OpenReleases::make_release(const SliceChangeRequest& request,
-                                                 const Records& records) {
-  Release release;
-  release.kind = request.kind;
-  release.is_step = request.is_step;
-  release.txn = request.txn;
-  for (const SliceRecord& slice : request.slices) {
-    const SliceKey key{slice.job_id, slice.number};
-    release.slices.push_back({key, slice_revision(records, key), slice});
+ReleaseId OpenReleases::insert(Release release, std::vector<SliceRecord> slices,
+                               const Records& records) {
+  const ReleaseId id = next_id();
+  const std::string job_key = keys::job(slices.front().job_id);
+  for (const Guard& guard : release.guards) {
+    if (guard.key == job_key) release.job_guard = guard.mod_revision;
   }
-  const std::string job_key = keys::job(request.slices.front().job_id);
-  for (const auto& [key, mod_revision] : request.txn.guards) {
-    if (key == job_key) release.job_guard = mod_revision;
+  for (SliceRecord& slice : slices) {
+    const SliceKey key{slice.job_id, slice.number};
+    release.slices.push_back(key);
+    by_slice_[key] = {id, id.get(), slice_revision(records, key), std::move(slice)};
   }
-  return release;
-}
-
-ReleaseId OpenReleases::insert(Release release) {
-  const ReleaseId id(++last_id_);
-  for (const GuardedSlice& slice : release.slices) by_slice_[slice.key] = id;
   open_.emplace(id, std::move(release));
   return id;
 }
 
-ReleaseId OpenReleases::add(const SliceChangeRequest& request, const Records& records) {
-  return insert(make_release(request, records));
+ReleaseId OpenReleases::add(SliceChangeRequest request, const Records& records) {
+  Release release;
+  release.kind = request.kind;
+  release.guards = std::move(request.guards);
+  return insert(std::move(release), std::move(request.slices), records);
 }
 
-ReleaseId OpenReleases::add_offer(const SliceChangeRequest& request, const Records& records,
+ReleaseId OpenReleases::add_offer(SliceChangeRequest request, const Records& records,
                                   const NodeId& holder, SteadyTime now) {
-  Release release = make_release(request, records);
+  Release release;
+  release.kind = request.kind;
+  release.guards = std::move(request.guards);
   release.state = State::offered;
   release.holder = holder;
   release.offer_open = true;
   release.unknown_since = now;
   release.deadline = now + kOfferTimeout;
-  return insert(std::move(release));
+  return insert(std::move(release), std::move(request.slices), records);
 }
 
 const char* OpenReleases::trigger_name(Trigger trigger) {
@@ -164,24 +136,80 @@
   // level.
   const bool notable = release.commit_open && release.retries <= 1;
   const auto level = notable ? spdlog::level::info : spdlog::level::debug;
-  const SliceKey& first = release.slices.front().key;
+  const SliceKey& first = release.slices.front();
   spdlog::log(level, "releases: state_changed id={} kind={} slice={}/{} from={} to={} trigger={}",
               id.get(), name_of(release.kind), first.job_id.get(), first.number,
               name_of(release.state), name_of(next), trigger_name(trigger));
   release.state = next;
 }
 
+std::vector<ReleaseId> OpenReleases::waiting() const {
+  std::vector<ReleaseId> out;
+  for (const auto& [id, release] : open_) {
+    if (release.state == State::waiting) out.push_back(id);
+  }
+  return out;
+}
+
+std::size_t OpenReleases::unanswered_steps() const {
+  // A step that was refused counts until it is settled, because it will be sent again.
+  return static_cast<std::size_t>(std::count_if(open_.begin(), open_.end(), [](const auto& entry) {
+    const Release& release = entry.second;
+    return release.is_step && (release.state == State::sent || release.state == State::unknown);
+  }));
+}
+
+void OpenReleases::add_slice(Transaction& txn, const SliceKey& key, std::string value) const {
+  const std::string path = keys::slice(key.job_id, key.number);
+  txn.guard(path, by_slice_.at(key).guard);
+  txn.put(path, std::move(value));
+}
+
+ReleaseId OpenReleases::split_off(Release& release, std::size_t slices) {
+  const auto end = release.slices.begin() + static_cast<std::ptrdiff_t>(slices);
+  Release step;
+  step.kind = release.kind;
+  step.guards = release.guards;
+  step.job_guard = release.job_guard;
+  step.slices.assign(release.slices.begin(), end);
+  step.is_step = true;
+  release.slices.erase(release.slices.begin(), end);
+  release.is_step = true;
+  const ReleaseId id = next_id();
+  for (const SliceKey& key : step.slices) by_slice_.at(key).release = id;
+  open_.emplace(id, std::move(step));
+  return id;
+}
+
+std::optional<OpenReleases::Step> OpenReleases::send_next_step(ReleaseId id, const RecordSize& size,
+                                                               std::size_t max_operations) {
+  Release& release = open_.at(id);
+  if (release.is_step && unanswered_steps() >= kMaxUnansweredSteps) return std::nullopt;
+  Transaction txn;
+  txn.guards = release.guards;
+  std::size_t bytes = 0;
+  for (const SliceKey& key : release.slices) {
+    if (txn.puts.size() >= max_operations) break;
+    std::string value = encode(by_slice_.at(key).after, size);
+    bytes += value.size();
+    if (!txn.puts.empty() && bytes > kMaxTransactionBytes) break;
+    add_slice(txn, key, std::move(value));
+  }
+  const bool is_last = txn.puts.size() == release.slices.size();
+  const ReleaseId step_id = is_last ? id : split_off(release, txn.puts.size());
+  transition(step_id, open_.at(step_id), State::sent, Trigger::sent);
+  return Step{step_id, std::move(txn)};
+}
+
 Transaction OpenReleases::mark_sent(ReleaseId id, const RecordSize& size) {
   Release& release = open_.at(id);
   const bool retried = release.commit_open || release.offer_open;
   if (retried) ++release.retries;
   transition(id, release, State::sent, retried ? Trigger::retried : Trigger::sent);
-  Transaction txn = release.txn;
-  for (const GuardedSlice& slice : release.slices) {
-    const std::string key = keys::slice(slice.key.job_id, slice.key.number);
-    for (Put& put : txn.puts) {
-      if (put.key == key) put.value = encode(slice.after, size);
-    }
+  Transaction txn;
+  txn.guards = release.guards;
+  for (const SliceKey& key : release.slices) {
+    add_slice(txn, key, encode(by_slice_.at(key).after, size));
   }
   return txn;
 }
@@ -235,14 +263,14 @@
 }
 
 std::optional<SettledBy> OpenReleases::settled_by(const Release& release, const WatchCache& cache,
-                                                  SteadyTime now) {
+                                                  SteadyTime now) const {
   const Records& records = cache.records();
   // A transaction is applied as a whole, so one guard that can no longer hold is enough.
   const bool slice_changed = std::any_of(
       release.slices.begin(), release.slices.end(),
-      [&](const GuardedSlice& slice) { return slice_revision(records, slice.key) != slice.guard; });
+      [&](const SliceKey& key) { return slice_revision(records, key) != by_slice_.at(key).guard; });
   if (slice_changed) return SettledBy::slice_revision;
-  const JobId& job_id = release.slices.front().key.job_id;
+  const JobId& job_id = release.slices.front().job_id;
   // The job's change must have been observed by the watch. Otherwise the cache may contain only
   // this controller's own change of the job, while the slice that an earlier release changed has
   // yet to be delivered.
@@ -271,9 +299,9 @@
       continue;
     }
     log_settled(it->first, release, *evidence);
-    for (const GuardedSlice& slice : release.slices) {
-      settled.push_back(slice.key);
-      by_slice_.erase(slice.key);
+    for (const SliceKey& key : release.slices) {
+      settled.push_back(key);
+      by_slice_.erase(key);
     }
     it = open_.erase(it);
   }
@@ -282,7 +310,7 @@
 
 void OpenReleases::log_settled(ReleaseId id, const Release& release, SettledBy evidence) {
   const auto level = release.commit_open ? spdlog::level::info : spdlog::level::debug;
-  const SliceKey& first = release.slices.front().key;
+  const SliceKey& first = release.slices.front();
   spdlog::log(level, "releases: settled id={} kind={} slice={}/{} by={} retries={}", id.get(),
               name_of(release.kind), first.job_id.get(), first.number, name_of(evidence),
               release.retries);
@@ -298,41 +326,35 @@
 }
 
 const SliceRecord* OpenReleases::slice(const SliceKey& key) const {
-  const auto id = by_slice_.find(key);
-  if (id == by_slice_.end()) return nullptr;
-  for (const GuardedSlice& slice : open_.at(id->second).slices) {
-    if (slice.key == key) return &slice.after;
-  }
-  return nullptr;
+  const auto open = by_slice_.find(key);
+  return open == by_slice_.end() ? nullptr : &open->second.after;
 }
 
 Occupancy::Slices OpenReleases::slices() const {
   Occupancy::Slices out;
-  for (const auto& [id, release] : open_) {
-    for (const GuardedSlice& slice : release.slices) out.emplace(slice.key, &slice.after);
+  for (const auto& [key, open] : by_slice_) {
+    out.emplace_hint(out.end(), key, PendingSlice{&open.after, open.change});
   }
   return out;
 }
 
-std::size_t OpenReleases::task_count() const {
-  std::size_t tasks = 0;
-  for (const auto& [id, release] : open_) {
-    for (const GuardedSlice& slice : release.slices) tasks += slice.after.tasks.size();
-  }
-  return tasks;
+std::optional<OpenReleases::State> OpenReleases::state(const SliceKey& key) const {
+  const auto open = by_slice_.find(key);
+  if (open == by_slice_.end()) return std::nullopt;
+  return open_.at(open->second.release).state;
 }
 
-std::optional<OpenReleases::State> OpenReleases::state(const SliceKey& key) const {
-  const auto id = by_slice_.find(key);
-  if (id == by_slice_.end()) return std::nullopt;
-  return open_.at(id->second).state;
+OpenReleaseCounts OpenReleases::counts() const {
+  OpenReleaseCounts counts{open_.size(), by_slice_.size(), 0, unanswered_steps()};
+  for (const auto& [key, open] : by_slice_) counts.tasks += open.after.tasks.size();
+  return counts;
 }
 
 std::vector<SliceKey> OpenReleases::unsettled_for(Duration min_time, SteadyTime now) const {
   std::vector<SliceKey> out;
   for (const auto& [id, release] : open_) {
     if (!release.unknown_since || now - *release.unknown_since < min_time) continue;
-    for (const GuardedSlice& slice : release.slices) out.push_back(slice.key);
+    out.insert(out.end(), release.slices.begin(), release.slices.end());
   }
   return out;
 }
--- a/src/leader/open_releases.hpp
+++ b/src/leader/open_releases.hpp
@@ -42,26 +42,34 @@
 struct SliceChangeRequest {
   enum class Kind { release, stop };
   Kind kind = Kind::release;
-  /// Guarded by the leader's term and by the revision of each slice.
-  Transaction txn;
-  /// The slices as the transaction writes them.
+  /// The guards on the term and, for a release, on the job. Each slice is guarded in addition by
+  /// its revision in the records.
+  std::vector<Guard> guards;
+  /// The slices as the change writes them, in the order of their numbers.
   std::vector<SliceRecord> slices;
-  /// True for one of several steps of a split request. A refused step stays open and is sent again,
-  /// because the tasks of the other steps wait for its tasks.
-  bool is_step = false;
 };
 
-/// Splits the request into steps that each fit one transaction. Each step keeps the guards on the
-/// term and the job. Committing only some of the steps is safe, because the tasks of a gang wait
-/// for each other and end when some of them never start.
-std::vector<SliceChangeRequest> split_request(const SliceChangeRequest& request,
-                                              std::size_t max_operations);
+/// What the open changes hold in memory.
+struct OpenReleaseCounts {
+  std::size_t changes = 0;
+  std::size_t slices = 0;
+  std::size_t tasks = 0;
+  /// Steps of changes that exceed one transaction, which were sent and are not answered.
+  std::size_t unanswered_steps = 0;
+};
 
 /// The open changes of one term and their states. This class sends nothing itself: `Releaser` sends
 /// the changes that are due and reports the answers.
+///
+/// A change that exceeds one transaction is committed in steps. A step is encoded only when it is
+/// sent, so that the memory of a change with 100,000 tasks is that of its decoded slices.
+/// Committing only some of the steps is safe, because the tasks of a gang wait for each other and
+/// end when some of them never start.
 class OpenReleases {
  public:
   enum class State {
+    /// No request has carried it yet.
+    waiting,
     /// The holder may bind it. No commit is in flight.
     offered,
     /// A commit is in flight.
@@ -78,13 +86,25 @@
   /// call with the current term changes nothing.
   void begin_term(ModRevision term);
 
-  /// Adds a change that is about to be committed. None of its slices may have an open change.
-  ReleaseId add(const SliceChangeRequest& request, const Records& records);
+  /// Adds a change that waits to be sent. None of its slices may have an open change.
+  ReleaseId add(SliceChangeRequest request, const Records& records);
   /// Adds a release that is about to be offered to the holder. None of its slices may have an open
   /// change.
-  ReleaseId add_offer(const SliceChangeRequest& request, const Records& records,
-                      const NodeId& holder, SteadyTime now);
-
+  ReleaseId add_offer(SliceChangeRequest request, const Records& records, const NodeId& holder,
+                      SteadyTime now);
+
+  /// The changes that wait to be sent, the oldest first.
+  [[nodiscard]] std::vector<ReleaseId> waiting() const;
+  /// A part of a change, and the transaction to send for it.
+  struct Step {
+    ReleaseId id;
+    Transaction txn;
+  };
+  /// Splits the first slices that fit one transaction off a waiting change, and marks them as sent.
+  /// Each step keeps the guards on the term and the job. Returns nothing while too many steps have
+  /// no answer. A change that fits one transaction never waits for others.
+  std::optional<Step> send_next_step(ReleaseId id, const RecordSize& size,
+                                     std::size_t max_operations);
   /// Marks the change as sent and returns the transaction to send. The slices are encoded anew for
   /// each attempt, because the state service may have lowered its limit on value sizes and would
   /// otherwise refuse every retry.
@@ -109,30 +129,32 @@
   [[nodiscard]] std::optional<State> state(const SliceKey& key) const;
   [[nodiscard]] State state(ReleaseId id) const { return open_.at(id).state; }
   [[nodiscard]] const JobId& job_id_of(ReleaseId id) const {
-    return open_.at(id).slices.front().key.job_id;
+    return open_.at(id).slices.front().job_id;
   }
   /// Slices whose open change has had an unknown outcome for at least `min_time`.
   [[nodiscard]] std::vector<SliceKey> unsettled_for(Duration min_time, SteadyTime now) const;
 
   [[nodiscard]] std::size_t size() const { return open_.size(); }
-  /// The tasks in the slices of the open changes.
-  [[nodiscard]] std::size_t task_count() const;
+  [[nodiscard]] OpenReleaseCounts counts() const;
   /// Number of offers that wait for the holder's binding or for the leader's own commit.
   [[nodiscard]] std::size_t open_offers() const;
   /// Number of offers that this holder still has time to bind.
   [[nodiscard]] std::size_t open_offers_to(const NodeId& holder) const;
 
  private:
-  struct GuardedSlice {
-    SliceKey key;
+  /// A slice with an open change. It is held only here until the records show the change.
+  struct OpenSlice {
+    ReleaseId release;
+    std::uint64_t change = 0;  // the change that was added; its steps keep it
     ModRevision guard;
     SliceRecord after;
   };
   struct Release {
     SliceChangeRequest::Kind kind = SliceChangeRequest::Kind::release;
-    State state = State::sent;
-    Transaction txn;
-    std::vector<GuardedSlice> slices;
+    State state = State::waiting;
+    /// Without the guards on the slices.
+    std::vector<Guard> guards;
+    std::vector<SliceKey> slices;
     std::optional<ModRevision> job_guard;
     /// The shard holder that the release was offered to. Empty when it was not offered.
     NodeId holder;
@@ -140,6 +162,8 @@
     bool offer_open = false;
     /// True when a commit got no answer and may still be applied.
     bool commit_open = false;
+    /// One of several steps of a change. A refused step stays open and is sent again, because the
+    /// tasks of the other steps wait for its tasks.
     bool is_step = false;
     /// When the change was offered, or else when its commit first got no answer.
     std::optional<SteadyTime> unknown_since;
@@ -167,17 +191,21 @@
   /// Changes a state. No other function does.
   static void transition(ReleaseId id, Release& release, State next, Trigger trigger);
   static void refuse(ReleaseId id, Release& release, Trigger trigger, SteadyTime now);
-  [[nodiscard]] static std::optional<SettledBy> settled_by(const Release& release,
-                                                           const WatchCache& cache, SteadyTime now);
+  [[nodiscard]] std::optional<SettledBy> settled_by(const Release& release, const WatchCache& cache,
+                                                    SteadyTime now) const;
   static void log_settled(ReleaseId id, const Release& release, SettledBy evidence);
-  ReleaseId insert(Release release);
-  [[nodiscard]] static Release make_release(const SliceChangeRequest& request,
-                                            const Records& records);
+  ReleaseId next_id() { return ReleaseId(++last_id_); }
+  ReleaseId insert(Release release, std::vector<SliceRecord> slices, const Records& records);
+  [[nodiscard]] std::size_t unanswered_steps() const;
+  /// Adds the slice's guard and its new value to the transaction.
+  void add_slice(Transaction& txn, const SliceKey& key, std::string value) const;
+  /// Moves the first slices of a waiting change to a new change.
+  ReleaseId split_off(Release& release, std::size_t slices);
 
   ModRevision term_;
   std::uint64_t last_id_ = 0;
   std::map<ReleaseId, Release> open_;
-  std::map<SliceKey, ReleaseId> by_slice_;
+  std::map<SliceKey, OpenSlice> by_slice_;
 };
 
 }  // namespace marblevale
--- a/src/leader/releaser.cpp
+++ b/src/leader/releaser.cpp
@@ -57,8 +57,9 @@
   for (const ReleaseId id : open_.retry_due(now)) {
     const bool offer_timed_out = open_.state(id) == OpenReleases::State::offered;
     metrics_.count(offer_timed_out ? "offers without an answer" : "releases sent again");
-    send(id);
+    send(id, open_.mark_sent(id, cache_.record_size()));
   }
+  send_waiting();
 }
 
 void Releaser::retain_only(const std::unordered_set<JobId>& queued_jobs) {
@@ -74,18 +75,29 @@
   for (const SliceRecord& slice : request.slices) usage_.mark_dirty({slice.job_id, slice.number});
 }
 
-void Releaser::send(ReleaseId id) {
-  cache_.commit(binding_priority(cache_.records(), open_.job_id_of(id)),
-                open_.mark_sent(id, cache_.record_size()), [this, id](const CommitResult& result) {
+void Releaser::send(ReleaseId id, Transaction txn) {
+  cache_.commit(binding_priority(cache_.records(), open_.job_id_of(id)), std::move(txn),
+                [this, id](const CommitResult& result) {
                   open_.on_commit_answer(id, result, clock_.steady());
                   events_.change_answered();
                 });
 }
 
-void Releaser::commit(const SliceChangeRequest& request) {
-  const ReleaseId id = open_.add(request, cache_.records());
+void Releaser::send_waiting() {
+  for (const ReleaseId id : open_.waiting()) send_steps(id);
+}
+
+void Releaser::send_steps(ReleaseId id) {
+  while (auto step = open_.send_next_step(id, cache_.record_size(), cache_.max_operations())) {
+    const bool is_last = step->id == id;
+    send(step->id, std::move(step->txn));
+    if (is_last) return;
+  }
+}
+
+void Releaser::commit(SliceChangeRequest request) {
   mark_slices_dirty(request);
-  send(id);
+  send_steps(open_.add(std::move(request), cache_.records()));
 }
 
 bool Releaser::stop_tasks(const SliceKey& key, const std::set<std::size_t>& indices,
@@ -103,11 +115,9 @@
     changed = true;
   }
   if (!changed) return false;
-  SliceChangeRequest request{SliceChangeRequest::Kind::stop, {}, {slice}, false};
-  election_.guard(request.txn);
-  request.txn.guard(keys::slice(key.job_id, key.number), stored->mod_revision);
-  request.txn.put(keys::slice(key.job_id, key.number), encode(slice, cache_.record_size()));
-  commit(request);
+  Transaction guards;
+  election_.guard(guards);
+  commit({SliceChangeRequest::Kind::stop, std::move(guards.guards), {std::move(slice)}});
   return true;
 }
 
@@ -116,15 +126,24 @@
   // round, in which small pieces of an array may have grown.
   for (const JobStart& start : starts) {
     if (!worth_releasing(start)) continue;
+    const JobRecord* job = cache_.records().job(start.job_id);
+    if (job->spec.gang()) {
+      release_unless_holder_is_busy(start, planner);
+      continue;
+    }
     const JobStart selected = short_of_writes() ? restrict_to_largest_zone(start, planner) : start;
     for (const JobStart& piece : split_by_slice(selected)) {
-      const auto holder = common_holder(piece, planner);
-      if (holder && open_.open_offers_to(*holder) >= kMaxOffersToHolder) continue;
-      release(piece, planner);
+      release_unless_holder_is_busy(piece, planner);
     }
   }
 }
 
+void Releaser::release_unless_holder_is_busy(const JobStart& start, const Planner& planner) {
+  const auto holder = common_holder(start, planner);
+  if (holder && open_.open_offers_to(*holder) >= kMaxOffersToHolder) return;
+  release(start, planner, holder);
+}
+
 bool Releaser::worth_releasing(const JobStart& start) {
   // Each release of part of an array costs the same number of writes, however small it is. While
   // the write budget is low, small parts wait for more tasks. They keep their capacity until the
@@ -163,12 +182,10 @@
   return selected;
 }
 
-std::vector<JobStart> Releaser::split_by_slice(const JobStart& start) const {
+std::vector<JobStart> Releaser::split_by_slice(const JobStart& start) {
   // The tasks of an array start independently, so each slice is released separately. Each slice can
   // then be offered to its holder, and a slice that waits for its last commit does not delay the
   // others.
-  const JobRecord* job = cache_.records().job(start.job_id);
-  if (job == nullptr || job->spec.gang()) return {start};
   std::map<std::uint32_t, JobStart> pieces;
   for (std::size_t i = 0; i < start.task_indices.size(); ++i) {
     JobStart& piece =
@@ -193,22 +210,28 @@
   return highest;
 }
 
-SliceRecord Releaser::make_released_slice(const JobSpec& job, std::uint32_t number,
-                                          const JobStart& start, const Planner& planner) const {
+SliceRecord Releaser::copy_or_create_slice(const JobSpec& job, std::uint32_t number) const {
+  if (const auto* stored = cache_.records().slice(job.job_id, number)) return stored->record;
   SliceRecord slice;
-  if (const auto* stored = cache_.records().slice(job.job_id, number)) {
-    slice = stored->record;
-  } else {
-    slice.job_id = job.job_id;
-    slice.number = number;
-    slice.tasks.resize(slice_size(job, number));
-  }
+  slice.job_id = job.job_id;
+  slice.number = number;
+  slice.tasks.resize(slice_size(job, number));
+  return slice;
+}
+
+std::vector<SliceRecord> Releaser::make_released_slices(const JobSpec& job, const JobStart& start,
+                                                        const Planner& planner) const {
   // The tasks of a gang find each other by their attempt number, so all of them get the same one.
   const Attempt gang_attempt = job.gang() ? highest_attempt(job) : Attempt{};
   const WallTime now = clock_.wall();
+  std::map<std::uint32_t, SliceRecord> slices;
   for (std::size_t i = 0; i < start.task_indices.size(); ++i) {
-    if (start.task_indices[i] / kSliceTasks != number) continue;
-    TaskRecord& task = slice.tasks.at(start.task_indices[i] % kSliceTasks);
+    const std::uint32_t number = start.task_indices[i] / kSliceTasks;
+    auto slice = slices.find(number);
+    if (slice == slices.end()) {
+      slice = slices.emplace(number, copy_or_create_slice(job, number)).first;
+    }
+    TaskRecord& task = slice->second.tasks.at(start.task_indices[i] % kSliceTasks);
     const PlanMachine& machine = planner.profile().machines()[start.plan.placements[i].machine];
     task.state = TaskState::released;
     task.attempt = Attempt((job.gang() ? gang_attempt : task.attempt).get() + 1);
@@ -217,24 +240,19 @@
     task.since = now;
     task.running_since = WallTime{};
   }
-  return slice;
+  std::vector<SliceRecord> out;
+  out.reserve(slices.size());
+  for (auto& [number, slice] : slices) out.push_back(std::move(slice));
+  return out;
 }
 
 SliceChangeRequest Releaser::make_request(const JobSpec& job, ModRevision job_revision,
                                           const JobStart& start, const Planner& planner) const {
-  std::set<std::uint32_t> numbers;
-  for (const std::uint32_t index : start.task_indices) numbers.insert(index / kSliceTasks);
-  SliceChangeRequest request;
-  election_.guard(request.txn);
-  request.txn.guard(keys::job(job.job_id), job_revision);
-  for (const std::uint32_t number : numbers) {
-    const auto* stored = cache_.records().slice(job.job_id, number);
-    const std::string key = keys::slice(job.job_id, number);
-    request.slices.push_back(make_released_slice(job, number, start, planner));
-    request.txn.guard(key, stored == nullptr ? ModRevision{} : stored->mod_revision);
-    request.txn.put(key, encode(request.slices.back(), cache_.record_size()));
-  }
-  return request;
+  Transaction guards;
+  election_.guard(guards);
+  guards.guard(keys::job(job.job_id), job_revision);
+  return {SliceChangeRequest::Kind::release, std::move(guards.guards),
+          make_released_slices(job, start, planner)};
 }
 
 bool Releaser::within_team_quota(const JobSpec& job, std::size_t tasks) {
@@ -260,7 +278,8 @@
   events_.quota_exceeded();
 }
 
-void Releaser::release(const JobStart& start, const Planner& planner) {
+void Releaser::release(const JobStart& start, const Planner& planner,
+                       const std::optional<NodeId>& holder) {
   const auto& records = cache_.records();
   const auto job = records.jobs.find(start.job_id);
   if (job == records.jobs.end()) return;
@@ -269,16 +288,15 @@
     if (open_.contains({start.job_id, index / kSliceTasks})) return;
   }
   if (!within_team_quota(spec, start.task_indices.size())) return;
-  const SliceChangeRequest request = make_request(spec, job->second.mod_revision, start, planner);
+  SliceChangeRequest request = make_request(spec, job->second.mod_revision, start, planner);
   spdlog::debug("releases: release job={} tasks={} job_tasks={} first_machine={}",
                 start.job_id.get(), start.task_indices.size(), spec.task_count,
                 planner.profile().machines()[start.plan.placements[0].machine].machine_id.get());
-  const auto holder = common_holder(start, planner);
   if (holder && request.slices.size() == 1) {
-    offer(*holder, request, start);
+    offer(*holder, std::move(request), start);
     return;
   }
-  for (const auto& step : split_request(request, cache_.max_operations())) commit(step);
+  commit(std::move(request));
 }
 
 std::optional<NodeId> Releaser::common_holder(const JobStart& start, const Planner& planner) const {
@@ -298,12 +316,13 @@
   return holder;
 }
 
-void Releaser::offer(const NodeId& holder, const SliceChangeRequest& request,
-                     const JobStart& start) {
-  const SliceRecord& slice = request.slices.front();
-  const auto* stored = cache_.records().slice(slice.job_id, slice.number);
-  const ReleaseId id = open_.add_offer(request, cache_.records(), holder, clock_.steady());
+void Releaser::offer(const NodeId& holder, SliceChangeRequest request, const JobStart& start) {
   mark_slices_dirty(request);
+  const SliceKey key{request.slices.front().job_id, request.slices.front().number};
+  const ReleaseId id =
+      open_.add_offer(std::move(request), cache_.records(), holder, clock_.steady());
+  const SliceRecord& slice = *open_.slice(key);
+  const auto* stored = cache_.records().slice(slice.job_id, slice.number);
   ReleaseOffer message;
   message.term = election_.term().get();
   message.job_id = slice.job_id.get();
--- a/src/leader/releaser.hpp
+++ b/src/leader/releaser.hpp
@@ -84,7 +84,8 @@
   /// whole.
   [[nodiscard]] JobStart restrict_to_largest_zone(const JobStart& start,
                                                   const Planner& planner) const;
-  [[nodiscard]] std::vector<JobStart> split_by_slice(const JobStart& start) const;
+  /// The array's start in parts of one slice each.
+  [[nodiscard]] static std::vector<JobStart> split_by_slice(const JobStart& start);
   /// The live controller that holds the shards of all the start's machines. Nothing when there is
   /// no single such controller or no offer channel.
   [[nodiscard]] std::optional<NodeId> common_holder(const JobStart& start,
@@ -96,17 +97,24 @@
   void report_quota_exceeded(const JobSpec& job, const Resources& used, bool usage_known);
   /// The highest attempt number of the job's tasks, including open releases.
   [[nodiscard]] Attempt highest_attempt(const JobSpec& job) const;
-  /// The slice with those of the start's tasks released that belong to it.
-  [[nodiscard]] SliceRecord make_released_slice(const JobSpec& job, std::uint32_t number,
-                                                const JobStart& start,
-                                                const Planner& planner) const;
+  [[nodiscard]] SliceRecord copy_or_create_slice(const JobSpec& job, std::uint32_t number) const;
+  /// The slices of the start's tasks, with these tasks released, by number.
+  [[nodiscard]] std::vector<SliceRecord> make_released_slices(const JobSpec& job,
+                                                              const JobStart& start,
+                                                              const Planner& planner) const;
   [[nodiscard]] SliceChangeRequest make_request(const JobSpec& job, ModRevision job_revision,
                                                 const JobStart& start,
                                                 const Planner& planner) const;
-  void release(const JobStart& start, const Planner& planner);
-  void offer(const NodeId& holder, const SliceChangeRequest& request, const JobStart& start);
-  void commit(const SliceChangeRequest& request);
-  void send(ReleaseId id);
+  void release_unless_holder_is_busy(const JobStart& start, const Planner& planner);
+  /// `holder`: the one controller that holds the shards of all the start's machines, if there is.
+  void release(const JobStart& start, const Planner& planner, const std::optional<NodeId>& holder);
+  void offer(const NodeId& holder, SliceChangeRequest request, const JobStart& start);
+  void commit(SliceChangeRequest request);
+  /// Sends the waiting changes, as far as the number of unanswered steps allows.
+  void send_waiting();
+  /// Sends the next steps of a waiting change.
+  void send_steps(ReleaseId id);
+  void send(ReleaseId id, Transaction txn);
   void mark_slices_dirty(const SliceChangeRequest& request);
 
   Metrics& metrics_;
--- a/src/leader/team_quota_usage.cpp
+++ b/src/leader/team_quota_usage.cpp
@@ -31,7 +31,7 @@
     by_team_.clear();
     slices_of_unreadable_jobs_.clear();
     for (const auto& [key, slice] : records.slices) dirty_.insert(key);
-    for (const auto& [key, slice] : open.slices()) dirty_.insert(key);
+    for (const auto& [key, pending] : open.slices()) dirty_.insert(key);
   }
   for (const SliceKey& key : dirty_) count_slice(key, records, open);
   dirty_.clear();
--- a/src/scheduling/occupancy.cpp
+++ b/src/scheduling/occupancy.cpp
@@ -162,7 +162,7 @@
   }
   const auto pending_entry = pending.find(key);
   const auto* stored = records.slice(key.job_id, key.number);
-  const SliceRecord* slice = pending_entry != pending.end() ? pending_entry->second
+  const SliceRecord* slice = pending_entry != pending.end() ? pending_entry->second.slice
                              : stored != nullptr            ? &stored->record
                                                             : nullptr;
   const JobRecord* job = records.job(key.job_id);
@@ -203,6 +203,32 @@
   unreachable_zones_ = zones;
 }
 
+bool Occupancy::uses_dirty_machine(const SliceKey& key) const {
+  const auto machines = machines_of_slice_.find(key);
+  return machines != machines_of_slice_.end() &&
+         std::any_of(
+             machines->second.begin(), machines->second.end(),
+             [this](const MachineId& machine) { return dirty_machines_.contains(machine); });
+}
+
+void Occupancy::mark_pending_dirty(const Slices& pending) {
+  // The open changes of a wide gang stay for many rounds, so a slice is read again only if its
+  // change is another one, or if a machine has entered or left the profile.
+  std::map<SliceKey, std::uint64_t> changes;
+  for (const auto& [key, open] : pending) {
+    changes.emplace_hint(changes.end(), key, open.change);
+    const auto last = last_pending_.find(key);
+    const bool same =
+        last != last_pending_.end() && open.change != 0 && last->second == open.change;
+    if (!same || uses_dirty_machine(key)) dirty_slices_.insert(key);
+  }
+  // An open change that has ended may have been recorded or dropped.
+  for (const auto& [key, change] : last_pending_) {
+    if (!changes.contains(key)) dirty_slices_.insert(key);
+  }
+  last_pending_ = std::move(changes);
+}
+
 void Occupancy::sync(const Records& records, const std::vector<Team>& teams, const Slices& pending,
                      const std::vector<BootingMachine>& booting, WallTime now) {
   if (rebuild_) {
@@ -212,6 +238,7 @@
     machines_of_slice_.clear();
     earliest_ends_.clear();
     earliest_end_of_slice_.clear();
+    last_pending_.clear();
     for (const auto& [machine_id, machine] : records.machines) dirty_machines_.insert(machine_id);
     for (const auto& [machine_id, machine] : booting_) dirty_machines_.insert(machine_id);
     for (const auto& [key, slice] : records.slices) dirty_slices_.insert(key);
@@ -227,14 +254,7 @@
       dirty_machines_.insert(machine_id);
   }
   booting_ = std::move(new_booting);
-  // Slices that were pending at the last `sync` are read again too, because their changes may have
-  // been recorded or dropped.
-  for (const SliceKey& key : last_pending_) dirty_slices_.insert(key);
-  last_pending_.clear();
-  for (const auto& [key, slice] : pending) {
-    last_pending_.insert(key);
-    dirty_slices_.insert(key);
-  }
+  mark_pending_dirty(pending);
   while (!earliest_ends_.empty() && earliest_ends_.begin()->first <= now + kEndTolerance) {
     dirty_slices_.insert(earliest_ends_.begin()->second);
     earliest_end_of_slice_.erase(earliest_ends_.begin()->second);
--- a/src/scheduling/occupancy.hpp
+++ b/src/scheduling/occupancy.hpp
@@ -39,10 +39,20 @@
 WallTime estimated_end(const TaskRecord& task, const JobSpec& job, const Records& records,
                        WallTime now);
 
+/// A slice as an open change would leave it.
+struct PendingSlice {
+  PendingSlice(const SliceRecord* record, std::uint64_t change_id = 0)
+      : slice(record), change(change_id) {}
+
+  const SliceRecord* slice;
+  /// Identifies the slice's content: while it stays the same, the content does. 0: unknown.
+  std::uint64_t change;
+};
+
 /// Owns the profile, and the set of machines and slices that changed since the last `sync`.
 class Occupancy {
  public:
-  using Slices = std::map<SliceKey, const SliceRecord*>;
+  using Slices = std::map<SliceKey, PendingSlice>;
 
   /// Marks a machine or slice as changed; the next `sync` reads its records again.
   void mark_machine_dirty(const MachineId& machine_id) { dirty_machines_.insert(machine_id); }
@@ -68,6 +78,10 @@
   void sync_machine(const MachineId& machine_id, const Records& records, WallTime now);
   void sync_slice(const SliceKey& key, const Records& records, const Slices& pending, WallTime now);
   void mark_slices_on_dirty(const MachineId& machine_id, const Records& records);
+  /// Marks the slices whose open change has begun, ended or changed since the last `sync`, and
+  /// those whose machines have changed.
+  void mark_pending_dirty(const Slices& pending);
+  [[nodiscard]] bool uses_dirty_machine(const SliceKey& key) const;
   void refresh_images(const MachineId& machine_id, const Records& records);
   [[nodiscard]] static std::size_t fetches_at(const MachineId& machine_id, const Records& records);
 
@@ -81,7 +95,7 @@
   std::map<SliceKey, std::set<MachineId>> machines_of_slice_;
   std::set<std::pair<WallTime, SliceKey>> earliest_ends_;  // earliest estimated end per slice
   std::map<SliceKey, WallTime> earliest_end_of_slice_;     // the slice's entry in `earliest_ends_`
-  std::set<SliceKey> last_pending_;
+  std::map<SliceKey, std::uint64_t> last_pending_;  // the change of each slice at the last `sync`
   std::set<MachineId> machines_to_refresh_;  // their images are refreshed at the end of `sync`
 };
 
--- a/tests/occupancy_test.cpp
+++ b/tests/occupancy_test.cpp
@@ -91,27 +91,12 @@
     records_.slices.erase(old);
   }
 
-  std::mt19937 random_;
-  Records records_;
-  std::vector<Team> teams_;
-  Occupancy occupancy_;
-  WallTime now_ = at(100);
-};
-
-TEST_P(OccupancyTest, IncrementalUpdatesEqualARebuild) {
-  std::vector<BootingMachine> booting;
-  for (int step = 0; step < 60; ++step) {
-    for (std::size_t n = draw(6); n > 0; --n) change_machine();
-    for (std::size_t n = draw(6); n > 0; --n) change_slice();
-    if (draw(8) == 0) {
-      booting.push_back({MachineId("new-" + std::to_string(step)), "g8", ZoneId("a"), false,
-                         now_ + Duration{30'000}});
-    }
-    if (draw(8) == 0 && !booting.empty()) booting.erase(booting.begin());
-    now_ = now_ + Duration{static_cast<std::int64_t>(draw(9000))};
-    occupancy_.sync(records_, teams_, {}, booting, now_);
+  /// Updates the profile, and compares it with one that is built from nothing.
+  void expect_equals_rebuilt(const Occupancy::Slices& pending,
+                             const std::vector<BootingMachine>& booting, int step) {
+    occupancy_.sync(records_, teams_, pending, booting, now_);
     Occupancy fresh;
-    fresh.sync(records_, teams_, {}, booting, now_);
+    fresh.sync(records_, teams_, pending, booting, now_);
     Profile& updated = occupancy_.profile();
     Profile& rebuilt = fresh.profile();
     ASSERT_EQ(updated.count(), rebuilt.count()) << "step " << step;
@@ -137,6 +122,70 @@
                   1e-6);
     }
   }
+
+  /// Begins, replaces or ends the open change of a random slice.
+  void change_pending() {
+    const JobId job_id("req-" + std::to_string(draw(kJobs)));
+    if (draw(3) == 0 || !records_.jobs.contains(job_id)) {
+      pending_.erase({job_id, 0});
+      return;
+    }
+    SliceRecord slice;
+    slice.job_id = job_id;
+    slice.tasks.resize(records_.jobs[job_id].record.spec.task_count);
+    for (TaskRecord& task : slice.tasks) {
+      if (draw(3) == 0) continue;
+      task.state = TaskState::released;
+      task.machine_id = MachineId("vm-" + std::to_string(draw(kMachines)));
+      task.since = now_;
+    }
+    pending_[{job_id, 0}] = {std::move(slice), ++last_change_};
+  }
+  [[nodiscard]] Occupancy::Slices pending_slices() const {
+    Occupancy::Slices out;
+    for (const auto& [key, open] : pending_)
+      out.emplace(key, PendingSlice{&open.first, open.second});
+    return out;
+  }
+
+  std::mt19937 random_;
+  Records records_;
+  std::vector<Team> teams_;
+  Occupancy occupancy_;
+  WallTime now_ = at(100);
+  std::map<SliceKey, std::pair<SliceRecord, std::uint64_t>> pending_;
+  std::uint64_t last_change_ = 0;
+};
+
+TEST_P(OccupancyTest, IncrementalUpdatesEqualARebuild) {
+  std::vector<BootingMachine> booting;
+  for (int step = 0; step < 60; ++step) {
+    for (std::size_t n = draw(6); n > 0; --n) change_machine();
+    for (std::size_t n = draw(6); n > 0; --n) change_slice();
+    if (draw(8) == 0) {
+      booting.push_back({MachineId("new-" + std::to_string(step)), "g8", ZoneId("a"), false,
+                         now_ + Duration{30'000}});
+    }
+    if (draw(8) == 0 && !booting.empty()) booting.erase(booting.begin());
+    now_ = now_ + Duration{static_cast<std::int64_t>(draw(9000))};
+    expect_equals_rebuilt({}, booting, step);
+    if (HasFatalFailure()) return;
+  }
+}
+
+// An open change that stays the same for many rounds is not read again in each of them.
+TEST_P(OccupancyTest, OpenChangesEqualARebuild) {
+  for (int step = 0; step < 60; ++step) {
+    for (std::size_t n = draw(3); n > 0; --n) change_machine();
+    for (std::size_t n = draw(4); n > 0; --n) change_slice();
+    for (std::size_t n = draw(4); n > 0; --n) change_pending();
+    std::erase_if(pending_, [this](const auto& entry) {
+      return !records_.jobs.contains(entry.first.job_id);
+    });
+    now_ = now_ + Duration{static_cast<std::int64_t>(draw(9000))};
+    expect_equals_rebuilt(pending_slices(), {}, step);
+    if (HasFatalFailure()) return;
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, OccupancyTest, ::testing::Values(1U, 2U, 3U, 4U));
--- a/tests/open_releases_test.cpp
+++ b/tests/open_releases_test.cpp
@@ -37,9 +37,7 @@
       task.machine_id = MachineId("vm-1");
     }
     SliceChangeRequest out;
-    out.txn.guard(keys::job(kJob), cache_.records().jobs.at(kJob).mod_revision);
-    out.txn.guard(keys::slice(kJob, 0), ModRevision{});
-    out.txn.put(keys::slice(kJob, 0), encode(slice));
+    out.guards = {{keys::job(kJob), cache_.records().jobs.at(kJob).mod_revision}};
     out.slices = {slice};
     return out;
   }
@@ -188,6 +186,91 @@
   EXPECT_FALSE(open_after(Duration{500}));
 }
 
+class WideChangeTest : public OpenReleasesTest {
+ protected:
+  static constexpr std::uint32_t kSlices = 100;
+  static constexpr std::size_t kOperations = 5;
+
+  ReleaseId add_wide() {
+    SliceChangeRequest wide = request();
+    const SliceRecord first = wide.slices.front();
+    for (std::uint32_t n = 1; n < kSlices; ++n) {
+      wide.slices.push_back(first);
+      wide.slices.back().number = n;
+    }
+    return releases_.add(std::move(wide), cache_.records());
+  }
+  std::vector<OpenReleases::Step> send_all(ReleaseId id) {
+    std::vector<OpenReleases::Step> steps;
+    while (releases_.contains(SliceKey{kJob, kSlices - 1}) &&
+           releases_.state({kJob, kSlices - 1}) == State::waiting) {
+      auto step = releases_.send_next_step(id, RecordSize{}, kOperations);
+      if (!step) break;
+      steps.push_back(std::move(*step));
+    }
+    return steps;
+  }
+};
+
+TEST_F(WideChangeTest, FewStepsAreUnansweredAndAllSlicesCount) {
+  const ReleaseId id = add_wide();
+  const auto steps = send_all(id);
+  EXPECT_EQ(steps.size(), releases_.counts().unanswered_steps);
+  EXPECT_LT(steps.size() * kOperations, kSlices / 2);
+  EXPECT_EQ(releases_.counts().slices, kSlices);
+  for (std::uint32_t n = 0; n < kSlices; ++n) {
+    ASSERT_NE(releases_.slice({kJob, n}), nullptr);
+    EXPECT_EQ(releases_.slice({kJob, n})->number, n);
+  }
+  for (const auto& step : steps) {
+    EXPECT_LE(step.txn.puts.size(), kOperations);
+    EXPECT_EQ(step.txn.guards.front().key, keys::job(kJob)) << "each step keeps the job's guard";
+    EXPECT_EQ(step.txn.guards.size(), step.txn.puts.size() + 1);
+  }
+}
+
+TEST_F(WideChangeTest, AnAnswerLetsTheNextStepGo) {
+  const ReleaseId id = add_wide();
+  const auto steps = send_all(id);
+  ASSERT_FALSE(releases_.send_next_step(id, RecordSize{}, kOperations));
+  releases_.on_commit_answer(steps[0].id, {Outcome::done, Revision(5), {}}, time_.steady());
+  const auto next = releases_.send_next_step(id, RecordSize{}, kOperations);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->txn.puts.front().key,
+            keys::slice(kJob, static_cast<std::uint32_t>(steps.size() * kOperations)));
+}
+
+TEST_F(WideChangeTest, RefusedStepsAreSentAgainBeforeFurtherOnes) {
+  const ReleaseId id = add_wide();
+  const auto steps = send_all(id);
+  for (const auto& step : steps) answer(step.id, Outcome::refused);
+  EXPECT_TRUE(send_all(id).empty());
+  time_.advance(Duration{1'000});
+  EXPECT_EQ(releases_.retry_due(time_.steady()).size(), steps.size());
+}
+
+TEST_F(WideChangeTest, DoesNotDelayAChangeOfOneTransaction) {
+  const ReleaseId wide = add_wide();
+  send_all(wide);
+  SliceChangeRequest small = request();
+  small.slices.front().job_id = JobId("req-2");
+  const ReleaseId id = releases_.add(std::move(small), cache_.records());
+  const auto step = releases_.send_next_step(id, RecordSize{}, kOperations);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->id, id);
+}
+
+TEST_F(WideChangeTest, ANewRevisionOfTheJobEndsTheStepsThatWait) {
+  const ReleaseId id = add_wide();
+  const auto steps = send_all(id);
+  store_.put(keys::job(kJob),
+             encode(JobRecord{testing::gang("req-1", 2, 1, 60), {}, time_.wall()}));
+  update_cache();
+  releases_.settle(cache_, time_.steady());
+  EXPECT_EQ(releases_.counts().slices, 0U);
+  EXPECT_TRUE(releases_.waiting().empty());
+}
+
 class TeamUsageTest : public OpenReleasesTest {
  protected:
   double gpus() {
--- a/tests/store_limit_reduction_test.cpp
+++ b/tests/store_limit_reduction_test.cpp
@@ -138,13 +138,14 @@
   request.slices = {largest_slice()};
   const SliceRecord& slice = request.slices.front();
   const std::string key = keys::slice(slice.job_id, slice.number);
-  request.txn.guard(key, ModRevision{}).put(key, encode(slice));
   const ReleaseId id = releases.add(request, cache.records());
-  EXPECT_EQ(releases.mark_sent(id, RecordSize{}).puts.front().value, encode(slice));
+  const Transaction first = releases.mark_sent(id, RecordSize{});
+  EXPECT_EQ(first.puts.front().value, encode(slice));
+  EXPECT_EQ(first.guards, (std::vector<Guard>{{key, ModRevision{}}}));
   releases.on_commit_answer(id, {}, time.steady());
   const Transaction retry = releases.mark_sent(id, kLoweredSize);
   EXPECT_LE(retry.puts.front().value.size(), kLoweredBytes);
-  EXPECT_EQ(retry.guards, request.txn.guards);
+  EXPECT_EQ(retry.guards, first.guards);
 }
 
 }  // namespace
--- a/tests/wide_job_memory_test.cpp
+++ b/tests/wide_job_memory_test.cpp
@@ -79,6 +79,55 @@
   }
 };
 
+TEST_F(WideJobMemoryTest, TheReleaseOfAGangFitsTheSmallestController) {
+  begin_with_machines();
+  const HeapPeak peak;
+  submit(wide_gang("req-1", kMostTasks));
+  run_and_forget_commits(Duration{3'000});
+  EXPECT_EQ(placed_by_attempt("req-1"), (std::map<Attempt, std::size_t>{{Attempt(1), kMostTasks}}));
+  EXPECT_LT(peak.bytes(), kControllerBytes);
+  EXPECT_EQ(leader_loop_.held().open_releases, 0U);
+}
+
+// Without answers, the transactions that are sent must not accumulate.
+TEST_F(WideJobMemoryTest, FewStepsOfAGangAreUnansweredAtATime) {
+  begin_with_machines();
+  release_without_answers(wide_gang("req-1", kMostTasks));
+  ASSERT_FALSE(store_.commits.empty());
+  EXPECT_LE(unanswered_bytes(), kMaxRequestBytes * 8);
+  EXPECT_EQ(leader_loop_.held().releasing_tasks, kMostTasks) << "all tasks count meanwhile";
+  answer_again();
+  run_and_forget_commits(Duration{3'000});
+  EXPECT_EQ(placed_by_attempt("req-1"), (std::map<Attempt, std::size_t>{{Attempt(1), kMostTasks}}));
+}
+
+TEST_F(WideJobMemoryTest, ASmallJobStartsBesideAReleaseWithoutAnswers) {
+  begin_with_machines(kMachines + 1);
+  run(Duration{1'000});
+  submit(wide_gang("req-1", kMostTasks));
+  for (std::uint32_t n = 0; n < kMostTasks / kSliceTasks; ++n) {
+    store_.key_scripts[keys::slice(JobId("req-1"), n)].assign(1'000, testing::Script::refuse);
+  }
+  run_and_forget_commits(Duration{500});
+  submit(testing::gang("req-2", 1, 1, 60));
+  run_and_forget_commits(Duration{500});
+  EXPECT_EQ(placed_by_attempt("req-2"), (std::map<Attempt, std::size_t>{{Attempt(1), 1}}));
+}
+
+// A cancellation must not leave steps behind that are sent later.
+TEST_F(WideJobMemoryTest, ACancellationEndsAReleaseThatWaitsForAnswers) {
+  begin_with_machines();
+  const JobSpec job = wide_gang("req-1", kMostTasks);
+  release_without_answers(job);
+  ASSERT_EQ(leader_loop_.held().releasing_tasks, kMostTasks);
+  store_.put(keys::job(job.job_id), encode(JobRecord{job, time_.wall(), time_.wall()}));
+  answer_again();
+  run_and_forget_commits(Duration{2'000});
+  EXPECT_EQ(leader_loop_.held().releasing_tasks, 0U);
+  const auto placed = placed_by_attempt("req-1");
+  EXPECT_LT(placed.empty() ? 0 : placed.begin()->second, kMostTasks / 10);
+}
+
 // A heartbeat names all tasks of its machine, so a machine with more tasks could not report at all.
 TEST_F(WideJobMemoryTest, AMachineGetsOnlyAsManyTasksAsItsHeartbeatNames) {
   begin_with_machines(2);
