Planning a wide gang neither lists its tasks nor compares each place with each

Each round listed the 100,000 task indices of every waiting gang, 400 kB each.

Change: the machines of the new places are a set; a gang places all its tasks, so the queue counts them.

Test: JobQueue.AWideGangThatWaitsListsNoTasks. In AGangWaitsForTheBackoffOfItsFailedTask the whole gang shows by its number of tasks.

--- a/src/scheduling/compression.cpp
+++ b/src/scheduling/compression.cpp
@@ -1,6 +1,8 @@
 #include "scheduling/compression.hpp"
 
 #include <algorithm>
+#include <numeric>
+#include <set>
 #include <unordered_set>
 
 namespace marblevale {
@@ -24,6 +26,19 @@
   }
 }
 
+/// Removes the first `count` tasks from the item and returns their indices.
+std::vector<std::uint32_t> take_task_indices(QueueItem& item, std::size_t count) {
+  if (item.demand.job->gang()) {
+    std::vector<std::uint32_t> all(count);
+    std::iota(all.begin(), all.end(), 0U);
+    return all;
+  }
+  const auto end = item.task_indices.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<std::uint32_t> taken(item.task_indices.begin(), end);
+  item.task_indices.erase(item.task_indices.begin(), end);
+  return taken;
+}
+
 }  // namespace
 
 std::vector<JobStart> Compression::run(std::size_t& cursor) {
@@ -140,9 +155,7 @@
   QueueItem& item = round_.queue[position];
   round_.failed_starts.erase(item.job_id);
   const std::vector<std::size_t> freed_machines = free_unused_places(item, plan);
-  const auto count = static_cast<std::ptrdiff_t>(plan.placements.size());
-  std::vector<std::uint32_t> task_indices(item.task_indices.begin(),
-                                          item.task_indices.begin() + count);
+  std::vector<std::uint32_t> task_indices = take_task_indices(item, plan.placements.size());
   allocate_running(item, plan);
   reduce_demand(item, plan);
   // The job no longer uses its team's limit at the reserved time.
@@ -160,18 +173,17 @@
 std::vector<std::size_t> Compression::free_unused_places(const QueueItem& item, const Plan& plan) {
   // A machine on which the job starts counts as freed only if its place there was reserved for
   // later.
-  std::vector<std::size_t> freed_machines;
+  std::unordered_set<std::size_t> used_machines;
+  for (const Placement& placement : plan.placements) used_machines.insert(placement.machine);
+  std::set<std::size_t> freed_machines;
   const Plan reserved = round_.plan_of(round_.reservations.at(item.job_id));
   for (const Placement& place : reserved.placements) {
-    const bool is_used =
-        place.start <= round_.now &&
-        std::any_of(plan.placements.begin(), plan.placements.end(),
-                    [&](const Placement& placement) { return placement.machine == place.machine; });
-    if (is_used) continue;
-    freed_machines.push_back(place.machine);
-    round_.profile.mark_capacity_freed(place.machine);
+    if (place.start <= round_.now && used_machines.contains(place.machine)) continue;
+    if (freed_machines.insert(place.machine).second) {
+      round_.profile.mark_capacity_freed(place.machine);
+    }
   }
-  return freed_machines;
+  return {freed_machines.begin(), freed_machines.end()};
 }
 
 void Compression::allocate_running(const QueueItem& item, const Plan& plan) {
@@ -185,9 +197,7 @@
 }
 
 void Compression::reduce_demand(QueueItem& item, const Plan& plan) const {
-  const auto count = static_cast<std::ptrdiff_t>(plan.placements.size());
-  item.task_indices.erase(item.task_indices.begin(), item.task_indices.begin() + count);
-  item.demand.tasks -= static_cast<std::uint32_t>(count);
+  item.demand.tasks -= static_cast<std::uint32_t>(plan.placements.size());
   const std::vector<PlanMachine>& machines = round_.profile.machines();
   if (item.demand.job->single_zone) item.demand.zone = machines[plan.placements[0].machine].zone;
   for (const Placement& placement : plan.placements) {
--- a/src/scheduling/job_queue.cpp
+++ b/src/scheduling/job_queue.cpp
@@ -50,13 +50,14 @@
  public:
   TaskScan(const JobSpec& job, WallTime now) : job_(job), now_(now), progress_(job.estimated_run) {}
 
-  /// `task` is null for a task that has no record yet.
-  void add(std::uint32_t task_index, const TaskRecord* task) {
-    if (task != nullptr) add_history(*task);
+  void add(std::uint32_t task_index, const TaskRecord& task) {
+    add_history(task);
     if (is_waiting(task)) add_waiting(task_index, task);
   }
+  /// Adds tasks that have no record yet.
+  void add_unrecorded(std::uint32_t first_task_index, std::uint32_t count);
 
-  [[nodiscard]] std::size_t waiting_count() const { return ready_.size() + backing_off_.size(); }
+  [[nodiscard]] std::size_t waiting_count() const { return waiting_count_; }
   [[nodiscard]] bool has_begun() const { return has_begun_; }
   [[nodiscard]] bool has_placed() const { return !placed_tasks_.empty(); }
   /// The least saved progress of any waiting task.
@@ -70,7 +71,8 @@
            (failed_on_.size() >= kFaultyJobMachines || max_faults_ >= kFaultyJobFaults);
   }
 
-  /// The tasks to place, and the earliest time at which they may start.
+  /// The tasks to place, and the earliest time at which they may start. A gang's tasks are not
+  /// listed, because it places all of them.
   struct Selection {
     std::vector<std::uint32_t> task_indices;
     WallTime not_before;
@@ -80,15 +82,18 @@
   [[nodiscard]] std::optional<Selection> take_selection();
 
  private:
-  [[nodiscard]] bool is_waiting(const TaskRecord* task) const;
+  [[nodiscard]] bool is_waiting(const TaskRecord& task) const;
   void add_history(const TaskRecord& task);
-  void add_waiting(std::uint32_t task_index, const TaskRecord* task);
-  [[nodiscard]] std::optional<Selection> select_gang();
+  void add_waiting(std::uint32_t task_index, const TaskRecord& task);
+  [[nodiscard]] std::optional<Selection> select_gang() const;
   [[nodiscard]] std::optional<Selection> select_probe() const;
 
   const JobSpec& job_;
   WallTime now_;
   Duration progress_;
+  std::size_t waiting_count_ = 0;
+  bool any_backs_off_ = false;
+  // The waiting tasks of an array. A gang places all its tasks, so they are only counted.
   std::vector<std::uint32_t> ready_;
   std::vector<std::uint32_t> backing_off_;
   WallTime first_retry_ = WallTime::max();
@@ -101,10 +106,18 @@
   bool has_begun_ = false;
 };
 
-bool TaskScan::is_waiting(const TaskRecord* task) const {
-  if (task == nullptr || task->state == TaskState::idle) return true;
+bool TaskScan::is_waiting(const TaskRecord& task) const {
+  if (task.state == TaskState::idle) return true;
   // Replicas of a service job never complete, so a record that says `done` is treated as waiting.
-  return job_.is_service() && task->state == TaskState::done;
+  return job_.is_service() && task.state == TaskState::done;
+}
+
+void TaskScan::add_unrecorded(std::uint32_t first_task_index, std::uint32_t count) {
+  progress_ = std::min(progress_, Duration{0});
+  first_retry_ = std::min(first_retry_, WallTime{});
+  waiting_count_ += count;
+  if (job_.gang()) return;
+  for (std::uint32_t i = 0; i < count; ++i) ready_.push_back(first_task_index + i);
 }
 
 void TaskScan::add_history(const TaskRecord& task) {
@@ -116,23 +129,19 @@
   if (task.failure_count > 0) failed_on_.insert(task.failed_on);
 }
 
-void TaskScan::add_waiting(std::uint32_t task_index, const TaskRecord* task) {
-  if (task == nullptr) {
-    progress_ = std::min(progress_, Duration{0});
-    first_retry_ = std::min(first_retry_, WallTime{});
-    ready_.push_back(task_index);
-    return;
-  }
-  progress_ = std::min(progress_, task->progress);
-  const WallTime retry_at = task->since + retry_backoff(task->failure_count);
+void TaskScan::add_waiting(std::uint32_t task_index, const TaskRecord& task) {
+  progress_ = std::min(progress_, task.progress);
+  const WallTime retry_at = task.since + retry_backoff(task.failure_count);
   first_retry_ = std::min(first_retry_, retry_at);
-  if (task->failure_count > 0) {
-    last_fault_ = std::max(last_fault_, task->since);
-    if (task->failure_count > max_faults_) worst_task_ = task_index;
-    max_faults_ = std::max(max_faults_, task->failure_count);
+  if (task.failure_count > 0) {
+    last_fault_ = std::max(last_fault_, task.since);
+    if (task.failure_count > max_faults_) worst_task_ = task_index;
+    max_faults_ = std::max(max_faults_, task.failure_count);
   }
-  const bool backs_off = task->failure_count > 0 && retry_at > now_;
-  (backs_off ? backing_off_ : ready_).push_back(task_index);
+  const bool backs_off = task.failure_count > 0 && retry_at > now_;
+  any_backs_off_ = any_backs_off_ || backs_off;
+  ++waiting_count_;
+  if (!job_.gang()) (backs_off ? backing_off_ : ready_).push_back(task_index);
 }
 
 std::optional<TaskScan::Selection> TaskScan::take_selection() {
@@ -145,16 +154,14 @@
   return std::nullopt;
 }
 
-std::optional<TaskScan::Selection> TaskScan::select_gang() {
+std::optional<TaskScan::Selection> TaskScan::select_gang() const {
   // A gang starts only as a whole, after all its earlier tasks are proven to have ended.
   if (has_placed() || waiting_count() != job_.task_count) return std::nullopt;
-  Selection all{std::move(ready_), WallTime{}};
-  all.task_indices.insert(all.task_indices.end(), backing_off_.begin(), backing_off_.end());
-  std::sort(all.task_indices.begin(), all.task_indices.end());
+  Selection all;
   // The backoff of the task that failed applies to the whole gang. The other tasks only end with it
   // and have no backoff of their own. If the gang did not wait for the failed task's backoff, a
   // faulty gang would start again every few seconds and preempt other jobs each time.
-  if (!backing_off_.empty()) all.not_before = last_fault_ + retry_backoff(max_faults_);
+  if (any_backs_off_) all.not_before = last_fault_ + retry_backoff(max_faults_);
   return all;
 }
 
@@ -199,9 +206,13 @@
   for (std::uint32_t number = 0; number < slice_count(spec); ++number) {
     const SliceRecord* slice = current(job_id, number);
     if (!spec.gang() && scan.waiting_count() >= kMaxQueuedTasks) break;
-    for (std::uint32_t i = 0; i < slice_size(spec, number); ++i) {
-      scan.add(number * kSliceTasks + i, slice == nullptr ? nullptr : &slice->tasks[i]);
+    const std::uint32_t first = number * kSliceTasks;
+    const std::uint32_t size = slice_size(spec, number);
+    if (slice == nullptr) {
+      scan.add_unrecorded(first, size);
+      continue;
     }
+    for (std::uint32_t i = 0; i < size; ++i) scan.add(first + i, slice->tasks[i]);
   }
   return scan;
 }
@@ -222,7 +233,8 @@
   item.failing = scan.is_failing();
   item.overdue = !scan.has_begun() && now - job.accepted > kOverdueWait;
   item.demand.job = &spec;
-  item.demand.tasks = static_cast<std::uint32_t>(item.task_indices.size());
+  item.demand.tasks =
+      spec.gang() ? spec.task_count : static_cast<std::uint32_t>(item.task_indices.size());
   item.demand.run = std::max(kMinRun, spec.estimated_run - scan.progress());
   if (spec.single_zone && scan.has_placed()) item.demand.zone = scan.placed_tasks().begin()->first;
   for (const auto& [zone, tasks] : scan.placed_tasks()) {
--- a/src/scheduling/queue_item.hpp
+++ b/src/scheduling/queue_item.hpp
@@ -13,8 +13,9 @@
   JobId job_id;
   Owner owner;  // owner of the job's reservation in the profile
   Demand demand;
-  std::vector<std::uint32_t> task_indices;  // the tasks to place, demand.tasks of them
-  bool guaranteed = false;                  // within its team's guarantee
+  /// The tasks to place, demand.tasks of them. Empty for a gang, which places all its tasks.
+  std::vector<std::uint32_t> task_indices;
+  bool guaranteed = false;  // within its team's guarantee
   WallTime accepted;
   WallTime not_before;             // earliest retry after a fault
   std::optional<WallTime> target;  // latest start that meets its next reachable objective
