Task records name machines, zones and jobs by shared texts

Cause: every controller holds the record of each task of an unfinished job, done ones included: 200 B, most of it three texts and a reason that are the same for thousands of tasks. Three arrays of 100,000 tasks took 72.8 MB in the watch cache of every controller, more than the 56 MB of the smallest.

Change: job, machine and zone ids and the reason of a stop are references to a text that is stored once and freed with its last reference; order, equality and hash are those of the text. Stored forms keep their bytes.

--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "core/interned_id.hpp"
+
 namespace marblevale {
 
 /// A value of type `T` that compares only with values of the same `Tag` and has no implicit
@@ -25,13 +27,13 @@
 };
 
 /// A job's id, chosen by its user. An id is never reused for another job.
-using JobId = StrongType<struct JobIdTag, std::string>;
+using JobId = InternedId<struct JobIdTag>;
 /// A rented machine's id, assigned by the cloud.
-using MachineId = StrongType<struct MachineIdTag, std::string>;
+using MachineId = InternedId<struct MachineIdTag>;
 /// A controller of the cluster.
 using NodeId = StrongType<struct NodeIdTag, std::string>;
 /// An availability zone. The machines in a zone form a shard, which has the same id.
-using ZoneId = StrongType<struct ZoneIdTag, std::string>;
+using ZoneId = InternedId<struct ZoneIdTag>;
 /// A team with a quota.
 using TeamId = StrongType<struct TeamIdTag, std::string>;
 /// An image that tasks need on their machine.
--- a/src/leader/guarantee_writer.cpp
+++ b/src/leader/guarantee_writer.cpp
@@ -41,7 +41,7 @@
   const auto recorded = guarantee_records.find(job_id);
   for (const TaskRecord& task : slice.tasks) {
     if (!task.stop) continue;
-    const std::string& reason = task.stop->reason;
+    const std::string& reason = task.stop->reason.get();
     auto& queued_notes = notes_[job_id];
     if (recorded != guarantee_records.end() &&
         contains_text(recorded->second.record.notes, reason)) {
--- a/src/leader/machine_evacuator.cpp
+++ b/src/leader/machine_evacuator.cpp
@@ -12,7 +12,7 @@
 
 void MachineEvacuator::run() {
   for (const auto& [job_id, evacuation] : find_evacuations(cache_.records(), clock_.wall())) {
-    const StopOrder order{evacuation.grace_period, evacuation.reason};
+    const StopOrder order{evacuation.grace_period, StopReason(evacuation.reason)};
     bool stopped = false;
     for (const auto& [number, indices] : evacuation.tasks) {
       stopped = releaser_.stop_tasks({job_id, number}, indices, order) || stopped;
--- a/src/leader/preemptor.cpp
+++ b/src/leader/preemptor.cpp
@@ -138,7 +138,7 @@
   const std::string reason = preemption_reason(item);
   for (const auto& [key, indices] : victims_by_slice) {
     const Duration grace_period = preemption_grace_period(records.job(key.job_id)->spec);
-    releaser_.stop_tasks(key, indices, StopOrder{grace_period, reason});
+    releaser_.stop_tasks(key, indices, StopOrder{grace_period, StopReason(reason)});
     guarantee_writer_.note(key.job_id, reason);
   }
   spdlog::info("leader: preempted tasks={} for_job={}", preemption->victims.size(),
--- a/src/records/records.hpp
+++ b/src/records/records.hpp
@@ -83,32 +83,35 @@
   void note(WallTime at, std::string text);
 };
 
-enum class TaskState {
+enum class TaskState : std::uint8_t {
   idle,
   released,  // the leader has placed the task on a machine
   bound,     // the shard's holder has committed that the task runs on this machine
   done
 };
 
+/// Why a task is stopped, as the job's notes tell it.
+using StopReason = InternedId<struct StopReasonTag>;
+
 /// The order to end a task within a grace period.
 struct StopOrder {
   Duration grace_period{};
-  std::string reason;
+  StopReason reason;
 };
 
 /// The state and placement of a task. The task stays placed until there is evidence of its
 /// termination.
 struct TaskRecord {
   TaskState state = TaskState::idle;
+  std::uint32_t failure_count = 0;  // failed attempts; of a service, since its last stable run
   Attempt attempt;
   ZoneId zone;
   MachineId machine_id;
-  WorkerEpoch epoch;                // the worker's epoch when the task was bound
-  WallTime since;                   // time of the release, the binding or the last end
-  WallTime running_since;           // when the attempt was first seen running; 0: not yet
-  Duration progress{};              // run time that the last checkpoint covers
-  std::uint32_t failure_count = 0;  // failed attempts; of a service, since its last stable run
-  MachineId failed_on;              // the machine of the last failed attempt
+  WorkerEpoch epoch;       // the worker's epoch when the task was bound
+  WallTime since;          // time of the release, the binding or the last end
+  WallTime running_since;  // when the attempt was first seen running; 0: not yet
+  Duration progress{};     // run time that the last checkpoint covers
+  MachineId failed_on;     // the machine of the last failed attempt
   std::optional<StopOrder> stop;
 
   [[nodiscard]] bool placed() const {
--- a/src/records/slice_codec.cpp
+++ b/src/records/slice_codec.cpp
@@ -45,7 +45,7 @@
     out.value(task.epoch.get()).value(time(task.running_since));
     if (task.stop) {
       out.value(task.stop->grace_period.count());
-      out.value(index_or_append(common.reasons, task.stop->reason));
+      out.value(index_or_append(common.reasons, task.stop->reason.get()));
     }
   }
   out.close_list();
@@ -105,7 +105,7 @@
   const Duration grace_period{in.integer()};
   const std::uint64_t reason = in.count();
   if (!in.ok() || reason >= common.reasons.size()) return false;
-  task.stop = StopOrder{grace_period, common.reasons[reason]};
+  task.stop = StopOrder{grace_period, StopReason(common.reasons[reason])};
   return true;
 }
 
@@ -164,8 +164,8 @@
     if ((head & kHasRunning) != 0) bytes_.put(time(task.running_since));
     if ((head & kHasStop) == 0) return;
     put_duration(task.stop->grace_period);
-    bytes_.put(index_or_append(
-        reasons_, detail_.keeps_reasons ? task.stop->reason : std::string(kReasonPlaceholder)));
+    bytes_.put(index_or_append(reasons_, detail_.keeps_reasons ? task.stop->reason.get()
+                                                               : std::string(kReasonPlaceholder)));
   }
   [[nodiscard]] std::uint64_t time(WallTime at) const {
     if (unix_milliseconds(at) == 0) return 0;
@@ -227,7 +227,7 @@
     const Duration grace_period = duration();
     const std::uint64_t reason = bytes_.number();
     if (reason >= reasons_.size()) return false;
-    task.stop = StopOrder{grace_period, reasons_[reason]};
+    task.stop = StopOrder{grace_period, StopReason(reasons_[reason])};
     return true;
   }
   bool read_machine(MachineId& out) {
--- a/src/shards/slice_reconciler.cpp
+++ b/src/shards/slice_reconciler.cpp
@@ -16,7 +16,7 @@
   bool changed = false;
   for (TaskRecord& task : slice.tasks) {
     if (!task.placed() || task.stop) continue;
-    task.stop = StopOrder{Duration{0}, "its gang lost a task"};
+    task.stop = StopOrder{Duration{0}, StopReason("its gang lost a task")};
     changed = true;
   }
   return changed;
--- a/tests/leader_loop_test.cpp
+++ b/tests/leader_loop_test.cpp
@@ -93,7 +93,7 @@
   machine("vm-1");
   submit(testing::gang("req-1", 1, 1, 60));
   TaskRecord task = bound("vm-1");
-  task.stop = StopOrder{Duration{5'000}, "displaced for req-7 (urgent)"};
+  task.stop = StopOrder{Duration{5'000}, StopReason("displaced for req-7 (urgent)")};
   set_task("req-1", task);
   begin();
   run(Duration{6'000});
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -40,7 +40,7 @@
   t.running_since = from_unix_milliseconds(6);
   t.progress = Duration{7};
   t.failure_count = 1;
-  t.stop = StopOrder{Duration{9}, "why"};
+  t.stop = StopOrder{Duration{9}, StopReason("why")};
   const SliceRecord back = round_trip(slice);
   EXPECT_EQ(back.number, 3U);
   const TaskRecord& b = back.tasks.at(1);
@@ -52,7 +52,7 @@
   EXPECT_EQ(b.progress, t.progress);
   EXPECT_EQ(b.failure_count, t.failure_count);
   ASSERT_TRUE(b.stop);
-  EXPECT_EQ(b.stop->reason, "why");
+  EXPECT_EQ(b.stop->reason.get(), "why");
 
   JobRecord job;
   job.spec = testing::gang("req-1", 3, 2, 50);
@@ -87,7 +87,7 @@
     t.since = t.running_since = from_unix_milliseconds(1'800'000'000'000);
     t.progress = Duration{1'000'000};
     t.failure_count = 100;
-    t.stop = StopOrder{Duration{100'000}, "displaced for req-000412 (guarantee)"};
+    t.stop = StopOrder{Duration{100'000}, StopReason("displaced for req-000412 (guarantee)")};
   }
   EXPECT_LE(encode(slice).size(), 8192U);
 }
--- a/tests/service_job_test.cpp
+++ b/tests/service_job_test.cpp
@@ -178,7 +178,7 @@
   run(Duration{1'000});
   EXPECT_FALSE(tasks("req-1")[0].stop);
   ASSERT_TRUE(tasks("req-1")[1].stop);
-  EXPECT_EQ(tasks("req-1")[1].stop->reason, "the cloud takes its machine back");
+  EXPECT_EQ(tasks("req-1")[1].stop->reason.get(), "the cloud takes its machine back");
   run(Duration{6'000});
   const auto stored_notes = notes("req-1");
   EXPECT_TRUE(std::any_of(stored_notes.begin(), stored_notes.end(), [](const std::string& note) {
--- a/tests/support/large_records.hpp
+++ b/tests/support/large_records.hpp
@@ -30,7 +30,8 @@
     t.running_since = t.since + Duration{95'000};
     t.progress = Duration{1'234'567};
     t.failure_count = 9;
-    t.stop = StopOrder{Duration{12'345}, "displaced for req-" + std::to_string(i) + " (guarantee)"};
+    t.stop = StopOrder{Duration{12'345},
+                       StopReason("displaced for req-" + std::to_string(i) + " (guarantee)")};
   }
   return slice;
 }
--- a/tests/wide_job_memory_test.cpp
+++ b/tests/wide_job_memory_test.cpp
@@ -145,6 +145,17 @@
   EXPECT_EQ(cache_.records().placed.size(), 2U);
 }
 
+TEST_F(WideJobMemoryTest, SeveralWideJobsAtOnceFitTheSmallestController) {
+  begin_with_machines();
+  const HeapPeak peak;
+  submit(wide_gang("req-1", kMostTasks));
+  submit(wide_gang("req-2", kMostTasks));
+  submit(tiny_tasks(testing::batch("req-3", kMostTasks, 0, 30)));
+  submit(tiny_tasks(testing::service_job("req-4", 1'000, 0)));
+  run_and_forget_commits(Duration{3'000});
+  EXPECT_LT(peak.bytes(), kControllerBytes);
+}
+
 // A gang that can't run at one time is not begun, neither by this leader nor by the next one.
 TEST_F(WideJobMemoryTest, AGangThatDoesNotFitIsNotBegun) {
   begin_with_machines(12);
@@ -161,5 +172,33 @@
   EXPECT_LT(peak.bytes(), kControllerBytes);
 }
 
+// The records of arrays that are almost done: every controller holds them, also after a reload.
+TEST(WideJobRecords, SeveralWideArraysFitTheWatchCache) {
+  testing::FakeTime time;
+  Loop loop(&time);
+  testing::ScriptedStore store;
+  store.page_size = 64;  // a page holds 512 KiB
+  for (const char* job : {"req-1", "req-2", "req-3"}) {
+    const JobSpec spec = tiny_tasks(testing::batch(job, kMostTasks, 0, 30));
+    testing::put_job(store, spec, time.wall());
+    for (std::uint32_t n = 0; n < slice_count(spec); ++n) {
+      SliceRecord slice;
+      slice.job_id = spec.job_id;
+      slice.number = n;
+      slice.tasks.resize(slice_size(spec, n));
+      for (TaskRecord& task : slice.tasks) {
+        task.state = TaskState::done;
+        task.attempt = Attempt(1);
+      }
+      store.put(keys::slice(spec.job_id, n), encode(slice));
+    }
+  }
+  const HeapPeak peak;
+  WatchCache cache(loop, time, store, 1);
+  cache.begin();
+  EXPECT_EQ(cache.records().slices.size(), 3 * 1'563U);
+  EXPECT_LT(peak.bytes(), kControllerBytes);
+}
+
 }  // namespace
 }  // namespace marblevale
