Requests to the state service are bounded by their bytes

The holder bound the slices of a service job without any bound on its commits in flight, and a job of 100,000 replicas has 1,563 slices.

Change: all waiting requests together hold at most 7 MiB; a further one counts as refused, as in a full queue. A holder has at most 64 commits of slices in flight for service jobs (16 for others, as before).

--- a/src/shards/shard_holder.cpp
+++ b/src/shards/shard_holder.cpp
@@ -144,10 +144,11 @@
 }
 
 void ShardHolder::reconcile_service_slices(std::set<SliceKey>& batch, SteadyTime until) {
-  // Slices of service jobs do not wait for other commits, because they are few and their service is
-  // down until they are bound.
+  // Slices of service jobs do not wait for the commits of other jobs, because their service is down
+  // until they are bound.
   const Records& records = context_.cache.records();
   for (auto it = batch.begin(); it != batch.end() && context_.clock.steady() <= until;) {
+    if (!commits_.has_service_capacity()) return;
     if (binding_priority(records, it->job_id) != RequestPriority::service_binding) {
       ++it;
       continue;
--- a/src/shards/slice_commits.hpp
+++ b/src/shards/slice_commits.hpp
@@ -14,6 +14,9 @@
 class SliceCommits {
  public:
   static constexpr std::size_t kMaxInFlight = 16;
+  /// Service jobs go first, but the commits of one with very many replicas must not fill the
+  /// memory.
+  static constexpr std::size_t kMaxInFlightWithServices = 64;
 
   SliceCommits(WatchCache& cache, PendingWork& work) : cache_(cache), work_(work) {}
 
@@ -23,6 +26,9 @@
   /// Returns false while `kMaxInFlight` commits wait for the state service or for write budget.
   /// Further reconciliations are then deferred, so that they share a commit with later changes.
   [[nodiscard]] bool has_capacity() const { return in_flight_.size() < kMaxInFlight; }
+  [[nodiscard]] bool has_service_capacity() const {
+    return in_flight_.size() < kMaxInFlightWithServices;
+  }
   [[nodiscard]] bool in_flight(const SliceKey& key) const { return in_flight_.contains(key); }
 
  private:
--- a/src/store/request_queue.cpp
+++ b/src/store/request_queue.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::size_t kMaxQueuedRequests = 400;  // of each priority
+/// Bytes of all requests that wait: about an eighth of the smallest controller's memory. The
+/// requests that are in flight and the copies that their senders keep come on top.
+constexpr std::size_t kMaxQueuedBytes = std::size_t{7} * 1024 * 1024;
 constexpr Duration kMaxQueueTime{2500};
 /// A submission with a longer expected queue time is refused at once, so that its user can retry.
 /// Reads and submissions, for which a user waits, expire after twice this time.
@@ -35,14 +38,6 @@
   return requests;
 }
 
-std::size_t RequestQueue::waiting_bytes() const {
-  std::size_t bytes = 0;
-  for (const Queue& queue : queues_) {
-    for (const Request& request : queue) bytes += request.call.body.size();
-  }
-  return bytes;
-}
-
 bool RequestQueue::holds_important_requests() const {
   constexpr auto kLast = static_cast<std::ptrdiff_t>(RequestPriority::leader_commit);
   return std::any_of(queues_.begin(), queues_.begin() + kLast + 1,
@@ -64,7 +59,9 @@
 void RequestQueue::enqueue(RequestPriority priority, HttpCall call, double writes,
                            HttpHandler then) {
   Queue& queue = queue_of(priority);
-  if (queue.size() >= kMaxQueuedRequests) {
+  const std::size_t bytes = call.body.size();
+  if (queue.size() >= kMaxQueuedRequests ||
+      (bytes > 0 && waiting_bytes_ + bytes > kMaxQueuedBytes)) {
     metrics_.count("store queue full");
     then(HttpReply::never_sent());
     return;
@@ -79,6 +76,7 @@
   }
   const bool user_waits = is_submission || priority == RequestPriority::read;
   const Duration max_wait = user_waits ? kMaxUserQueueTime * 2 : kMaxQueueTime;
+  waiting_bytes_ += bytes;
   queue.push_back({std::move(call), writes, clock_.steady() + max_wait, std::move(then),
                    is_submission ? kMaxSubmissionRetries : 0});
   pump();
@@ -114,9 +112,7 @@
     if (shortage != Shortage::none) return shortage;
     budget_.take_request(now);
     if (queue.front().writes > 0) budget_.take_writes(now, queue.front().writes, priority);
-    Request request = std::move(queue.front());
-    queue.pop_front();
-    send(std::move(request));
+    send(take_front(queue));
   }
   return Shortage::none;
 }
@@ -133,11 +129,17 @@
   return blocked ? Shortage::writes : Shortage::none;
 }
 
+RequestQueue::Request RequestQueue::take_front(Queue& queue) {
+  Request request = std::move(queue.front());
+  queue.pop_front();
+  waiting_bytes_ -= request.call.body.size();
+  return request;
+}
+
 void RequestQueue::expire_front(Queue& queue) {
-  const HttpHandler then = std::move(queue.front().then);
+  const Request request = take_front(queue);
   metrics_.count("over the store budget");
-  queue.pop_front();
-  then(HttpReply::never_sent());
+  request.then(HttpReply::never_sent());
 }
 
 void RequestQueue::send(Request request) {
@@ -156,6 +158,7 @@
     // The submission was not executed and its user waits. It is sent again after a delay in which
     // the other nodes use up their bursts.
     --in_flight->retries_left;
+    waiting_bytes_ += in_flight->call.body.size();
     queue_of(RequestPriority::submission).push_front(std::move(*in_flight));
     if (!pump_timer_.pending()) pump_timer_.start(kSubmissionRetryDelay);
   });
--- a/src/store/request_queue.hpp
+++ b/src/store/request_queue.hpp
@@ -24,7 +24,7 @@
   void enqueue(RequestPriority priority, HttpCall call, double writes, HttpHandler then);
   /// The requests that wait, and the bytes of their bodies.
   [[nodiscard]] std::size_t waiting_requests() const;
-  [[nodiscard]] std::size_t waiting_bytes() const;
+  [[nodiscard]] std::size_t waiting_bytes() const { return waiting_bytes_; }
   /// True while a request of priority `leader_commit` or higher waits.
   [[nodiscard]] bool holds_important_requests() const;
 
@@ -48,6 +48,7 @@
   [[nodiscard]] Shortage send_ready(RequestPriority priority, SteadyTime now, bool writes_blocked);
   [[nodiscard]] Shortage shortage_for(const Request& request, RequestPriority priority,
                                       SteadyTime now, bool writes_blocked);
+  Request take_front(Queue& queue);
   void expire_front(Queue& queue);
   void send(Request request);
 
@@ -56,6 +57,7 @@
   HttpClient& http_;
   RequestBudget& budget_;
   std::array<Queue, kRequestPriorityCount> queues_;
+  std::size_t waiting_bytes_ = 0;
   Timer pump_timer_;
 };
 
