--- a/tests/interned_id_test.cpp
+++ b/tests/interned_id_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "core/ids.hpp"
 
@@ -48,6 +49,7 @@
   std::map<JobId, int> by_job;
   for (const char* job : {"req-9", "req-10", "req-1"}) by_job[JobId(job)] = 1;
   std::vector<std::string> order;
+  order.reserve(by_job.size());
   for (const auto& [job, value] : by_job) order.push_back(job.get());
   EXPECT_EQ(order, (std::vector<std::string>{"req-1", "req-10", "req-9"}));
 }
