Heap count of the tests: new that does not throw is counted too

StarvationTest.AnUnusableMachineIsNamedWhenNoOtherFits failed under the address sanitizer: std::stable_partition allocates by new(nothrow), which was not replaced, and frees by the replaced delete.

--- a/tests/support/heap_use.cpp
+++ b/tests/support/heap_use.cpp
@@ -12,14 +12,20 @@
 std::size_t held = 0;
 std::size_t highest = 0;
 
-void* allocate(std::size_t bytes) {
+void* allocate_or_null(std::size_t bytes) noexcept {
   void* memory = std::malloc(bytes == 0 ? 1 : bytes);
-  if (memory == nullptr) throw std::bad_alloc{};
+  if (memory == nullptr) return nullptr;
   held += ::malloc_usable_size(memory);
   highest = std::max(highest, held);
   return memory;
 }
 
+void* allocate(std::size_t bytes) {
+  void* memory = allocate_or_null(bytes);
+  if (memory == nullptr) throw std::bad_alloc{};
+  return memory;
+}
+
 void release(void* memory) noexcept {
   if (memory == nullptr) return;
   held -= ::malloc_usable_size(memory);
@@ -30,6 +36,12 @@
 
 void* operator new(std::size_t bytes) { return allocate(bytes); }
 void* operator new[](std::size_t bytes) { return allocate(bytes); }
+void* operator new(std::size_t bytes, const std::nothrow_t&) noexcept {
+  return allocate_or_null(bytes);
+}
+void* operator new[](std::size_t bytes, const std::nothrow_t&) noexcept {
+  return allocate_or_null(bytes);
+}
 void operator delete(void* memory) noexcept { release(memory); }
 void operator delete[](void* memory) noexcept { release(memory); }
 void operator delete(void* memory, std::size_t) noexcept { release(memory); }
