The width of a round's starts is counted once; the heap count of the tests keeps only what they use

Found by rereading: the same sum over the starts was taken before and after the release, and heap_bytes() had no caller.

--- a/src/leader/leader_loop.cpp
+++ b/src/leader/leader_loop.cpp
@@ -220,9 +220,10 @@
   // The queue of this round still contains the jobs that start now. The next round sees them as
   // placed.
   const std::vector<JobStart> starts = compress(planner);
-  if (is_wide(starts)) metrics_.checkpoint("planned");
+  const bool wide = is_wide(starts);
+  if (wide) metrics_.checkpoint("planned");
   releaser_.release_all(starts, planner);
-  if (is_wide(starts)) metrics_.checkpoint("released");
+  if (wide) metrics_.checkpoint("released");
   const bool complete = admitted && compression_cursor_ == 0;
   // Preemption makes the best choices when nothing more can start. Under load every round starts
   // jobs or runs out of budget, so an overdue preemption runs in such a round too.
--- a/tests/support/heap_use.cpp
+++ b/tests/support/heap_use.cpp
@@ -49,8 +49,6 @@
 
 namespace marblevale::testing {
 
-std::size_t heap_bytes() { return held; }
-
 HeapPeak::HeapPeak() : begin_(held) { highest = held; }
 
 std::size_t HeapPeak::bytes() const { return highest - begin_; }
--- a/tests/support/heap_use.hpp
+++ b/tests/support/heap_use.hpp
@@ -5,10 +5,8 @@
 
 namespace marblevale::testing {
 
-/// The bytes that are allocated by `new` and not deleted yet.
-std::size_t heap_bytes();
-
-/// Measures the most bytes that are held at one time from its construction on.
+/// Measures the most bytes that are held at one time from its construction on: those allocated by
+/// `new` and not deleted yet.
 class HeapPeak {
  public:
   HeapPeak();
