--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -1,6 +1,7 @@
 // The cases of the second review. Usage: cases NAME; the environment gives RUN (the command of the
 // deploy file), FOLDER (a temporary folder), RECORD (the record's path) and TROUBLE (0: without the
 // disruption). Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 
@@ -91,6 +92,78 @@
   return finish(w, "wrong_place", ready);
 }
 
+/// A second array waits beside one machine with many small tasks of a first one, and an idle machine.
+int job_beside_many_tasks() {
+  World w(small_deployment());
+  add_types(w);
+  w.add_machine("wheat-node", "ghor", false);
+  w.start_controllers();
+  const std::string first = "req-000701", second = "req-000702";
+  const auto submit_array = [&](const std::string& uid, const char* team, int parts, double run_s) {
+    Job& j = w.jobs[uid];
+    j.uid = uid;
+    j.team = team;
+    j.parts = parts;
+    j.cpus = 0.18;
+    j.accelerators = 0;
+    j.memory_gb = 1.3;
+    j.expect_s = j.run_s = run_s;
+    w.submit(uid, 1);
+  };
+  const auto started = [&](const std::string& uid) {  // tasks that are, or were, on a machine
+    std::size_t count = w.jobs[uid].completed.size();
+    for (const auto& [name, worker] : w.workers) {
+      for (const auto& [key, part] : worker->parts) {
+        if (job_of(key.first) == uid && part.status != "fetching" && part.status != "ended") ++count;
+      }
+    }
+    return count;
+  };
+  // A machine that the job allows, with room for a task of it. Jobs of teams at their limit don't
+  // count; the second job's team uses nothing, and its tasks need no accelerators.
+  const auto has_room = [&](Worker& worker) {
+    double cpus = 64, memory = 512;
+    for (const auto& [key, part] : worker.parts) {
+      if (part.status == "ended") continue;
+      cpus -= w.jobs[job_of(key.first)].cpus;
+      memory -= w.jobs[job_of(key.first)].memory_gb;
+    }
+    return !worker.gone && cpus >= 0.18 && memory >= 1.3;
+  };
+  after(3, [&] { submit_array(first, "hudud-mappers-00", trouble() ? 200 : 150, 150); });
+  after(9, [&] { w.add_machine("wheat-node", "balqa", false); });
+  bool ready = false, waits = true;
+  after(14, [&] {
+    ready = started(first) == (trouble() ? 200U : 150U);
+    submit_array(second, "hudud-mappers-01", 64, 20);
+  });
+  double since = 0;
+  auto check = std::make_shared<std::function<void()>>();
+  *check = [&, check] {
+    const Job& job = w.jobs[second];
+    bool room = false;
+    for (auto& [name, worker] : w.workers) room = room || has_room(*worker);
+    if (started(second) > 0) waits = false;
+    if (job.accepted_at < 0 || !room) since = now();
+    since = std::max(since, job.accepted_at);
+    if (waits && job.accepted_at >= 0 && now() - since >= 90) {
+      w.break_rule("waiting", second + ": no task has started for 90 s beside a machine with room");
+      return;
+    }
+    after(0.25, *check);
+  };
+  after(14.5, *check);
+  for (double t = 16; t < 112; t += 5) after(t, [&] { w.poll(second, 2); });
+  after(112, [&] {
+    for (auto& [name, worker] : w.workers) {
+      record("%s in %s: %zu tasks%s, %s", name.c_str(), worker->district.c_str(), worker->parts.size(),
+             worker->gone ? ", returned" : "", has_room(*worker) ? "has room" : "no room");
+    }
+  });
+  run_loop(113);
+  return finish(w, "waiting", ready && w.jobs[second].accepted_at >= 0);
+}
+
 /// One node is refused by the state service for a while; the answer to its next watch holds both the
 /// submission and the end of a job, the newest change first.
 int log_order() {
@@ -137,6 +210,7 @@
 int main(int argc, char** argv) {
   const std::string name = argc > 1 ? argv[1] : "";
   if (name == "zone-bound-array") return zone_bound_array();
+  if (name == "job-beside-many-tasks") return job_beside_many_tasks();
   if (name == "log-order") return log_order();
   std::fprintf(stderr, "no such case\n");
   return 2;
