--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -29,8 +29,10 @@
 }
 
 /// Ends the case: 1 if `rule` was broken, else 0; 2 if `ready` is false, because then the situation
-/// that the case is about never arose.
+/// that the case is about never arose, or if a controller ended by itself (a port that was taken).
 int finish(World& w, const std::string& rule, bool ready) {
+  w.reap();
+  for (const Controller& c : w.controllers) ready = ready && c.ended_by_itself == 0;
   w.end_all();
   int count = 0;
   for (const std::string& b : w.broken) {
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -42,16 +42,23 @@
   }
   return "";
 }
+/// A free port below the range from which outgoing connections usually take theirs.
 int free_port() {
-  const int s = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(s, reinterpret_cast<sockaddr*>(&a), sizeof a);
-  socklen_t n = sizeof a;
-  getsockname(s, reinterpret_cast<sockaddr*>(&a), &n);
-  close(s);
-  return ntohs(a.sin_port);
+  static std::random_device device;
+  static std::set<int> taken;
+  for (int tries = 0; tries < 1000; ++tries) {
+    const int port = 18000 + static_cast<int>(device() % 12000);
+    if (!taken.insert(port).second) continue;
+    const int s = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool free = bind(s, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    close(s);
+    if (free) return port;
+  }
+  std::exit(2);
 }
 struct Timer {
   event* ev;
