The queue reads every slice of a job

Cause: the scan that builds the queue stopped at the first slice after 256 waiting tasks. That bound is meant for the list of tasks to place, but the same scan collects what the whole job's placement and rank rest on: the zones of its placed tasks, whether it has begun, works or fails. Placed tasks in later slices were not seen, so `together` set no zone, `spread` counted too few, machines were rented in any zone, a job that works counted as failing, and tasks that were ready waited for the backoff of the first 256. Planner and holder check against the same demand, so nothing else refused the place.

Wide jobs' slices are summarized once and read again only when they change, so that the cost of a round does not grow. `why` uses the entry of the one job, and no copy of the records.

--- a/src/api/job_api.cpp
+++ b/src/api/job_api.cpp
@@ -19,7 +19,6 @@
                WatchCache& cache, Cancellations& cancellations)
     : loop_(loop),
       clock_(clock),
-      settings_(settings),
       cache_(cache),
       lookup_(clock, store, cache, cancellations),
       submission_(clock, settings, cache, lookup_),
@@ -64,8 +63,7 @@
     if (std::holds_alternative<LookupFailed>(result)) {
       answer(store_unavailable_answer());
     } else if (const auto* job = std::get_if<Versioned<JobRecord>>(&result)) {
-      answer({200, explain_job(cache_.records(), settings_, job->record, clock_.wall()),
-              std::nullopt});
+      answer({200, explain_job(cache_.records(), job->record, clock_.wall()), std::nullopt});
     } else if (const auto* final_job = std::get_if<FinalRecord>(&result)) {
       answer({200, explain_job(*final_job), std::nullopt});
     } else {
--- a/src/api/job_api.hpp
+++ b/src/api/job_api.hpp
@@ -32,7 +32,6 @@
  private:
   Loop& loop_;
   const Clock& clock_;
-  const Settings& settings_;
   WatchCache& cache_;
   OpenQueryLimit open_queries_;
   JobLookup lookup_;
--- a/src/api/job_explanation.cpp
+++ b/src/api/job_explanation.cpp
@@ -32,21 +32,14 @@
 };
 
 /// The time until the planner considers the job again; empty if none of its tasks waits.
-std::optional<Duration> remaining_backoff(const Records& records, const Settings& settings,
-                                          const JobRecord& job, WallTime now) {
-  Records records_of_job;
-  records_of_job.jobs.emplace(job.spec.job_id, Versioned<JobRecord>{job, {}});
-  const auto find_slice = [&records](const JobId& job_id, std::uint32_t number) {
-    const auto* stored = records.slice(job_id, number);
-    return stored == nullptr ? nullptr : &stored->record;
-  };
-  const auto queue = build_queue(records_of_job, settings, find_slice, now, false);
-  if (queue.empty()) return std::nullopt;
-  return std::max(Duration{0}, queue.front().not_before - now);
+std::optional<Duration> remaining_backoff(const Records& records, const JobRecord& job,
+                                          WallTime now) {
+  const auto item = make_queue_item(job.spec.job_id, job, records, {}, now);
+  if (!item) return std::nullopt;
+  return std::max(Duration{0}, item->not_before - now);
 }
 
-TaskFailures find_failures(const Records& records, const Settings& settings, const JobRecord& job,
-                           WallTime now) {
+TaskFailures find_failures(const Records& records, const JobRecord& job, WallTime now) {
   TaskFailures failures;
   for_each_task(records, job.spec.job_id, [&failures](const TaskRecord& task) {
     if (task.state == TaskState::done || task.progress > Duration{0}) {
@@ -56,7 +49,7 @@
     failures.count += task.failure_count;
     failures.machines.insert(task.failed_on);
   });
-  if (failures.count > 0) failures.backoff = remaining_backoff(records, settings, job, now);
+  if (failures.count > 0) failures.backoff = remaining_backoff(records, job, now);
   return failures;
 }
 
@@ -142,8 +135,7 @@
 
 }  // namespace
 
-std::string explain_job(const Records& records, const Settings& settings, const JobRecord& job,
-                        WallTime now) {
+std::string explain_job(const Records& records, const JobRecord& job, WallTime now) {
   const JobSpec& spec = job.spec;
   const TaskCounts tasks = count_tasks(records, spec.job_id);
   json::Writer out;
@@ -157,7 +149,7 @@
       .put("done", tasks.done)
       .put("placed", tasks.placed)
       .put("stopping", tasks.stopping);
-  write_failures(out, find_failures(records, settings, job, now));
+  write_failures(out, find_failures(records, job, now));
   write_plan(out, records, job);
   out.close();
   return out.str();
--- a/src/api/job_explanation.hpp
+++ b/src/api/job_explanation.hpp
@@ -3,15 +3,13 @@
 
 #include <string>
 
-#include "config/settings.hpp"
 #include "records/record_set.hpp"
 
 namespace marblevale {
 
 /// The explanation of an unfinished job as JSON: its tasks by state, their failures, the job's
 /// guarantee and the history of its plan.
-[[nodiscard]] std::string explain_job(const Records& records, const Settings& settings,
-                                      const JobRecord& job, WallTime now);
+[[nodiscard]] std::string explain_job(const Records& records, const JobRecord& job, WallTime now);
 /// The explanation of an ended job as JSON.
 [[nodiscard]] std::string explain_job(const FinalRecord& job);
 /// Formats an explanation's JSON as text for a terminal.
--- a/src/leader/leader_loop.cpp
+++ b/src/leader/leader_loop.cpp
@@ -138,6 +138,7 @@
   preemptor_.begin_term();
   starvation_.begin_term();
   compression_cursor_ = 0;
+  slice_summaries_.clear();
   planning_.begin_term(cache_.records());
 }
 
@@ -181,7 +182,7 @@
 }
 
 Planner LeaderLoop::make_planner(SteadyTime round_begin) {
-  const Occupancy::Slices pending = releaser_.open_releases().slices();
+  const PendingSlices pending = releaser_.open_releases().slices();
   const WallTime now = clock_.wall();
   planning_.set_unreachable_zones(unreachable_zones_.current(cache_.records(), clock_.steady()),
                                   cache_.records());
@@ -189,7 +190,7 @@
     const auto timed = metrics_.time(Duty::profile_sync);
     planning_.sync(cache_.records(), settings_, pending, autoscaler_.booting(), now);
   }
-  std::vector<QueueItem> queue = build_current_queue(now);
+  std::vector<QueueItem> queue = build_current_queue(pending, now);
   std::unordered_set<JobId> queued_jobs;
   for (const QueueItem& item : queue) queued_jobs.insert(item.job_id);
   retain_only(queued_jobs);
@@ -198,14 +199,10 @@
   });
 }
 
-std::vector<QueueItem> LeaderLoop::build_current_queue(WallTime now) {
+std::vector<QueueItem> LeaderLoop::build_current_queue(const PendingSlices& pending, WallTime now) {
   const auto timed = metrics_.time(Duty::queue);
-  return build_queue(
-      cache_.records(), settings_,
-      [this](const JobId& job_id, std::uint32_t number) {
-        return releaser_.current_slice(job_id, number);
-      },
-      now, releaser_.short_of_writes());
+  return build_queue(cache_.records(), pending, settings_, now, releaser_.short_of_writes(),
+                     &slice_summaries_);
 }
 
 void LeaderLoop::retain_only(const std::unordered_set<JobId>& queued_jobs) {
--- a/src/leader/leader_loop.hpp
+++ b/src/leader/leader_loop.hpp
@@ -26,6 +26,7 @@
 #include "leader/starvation_check.hpp"
 #include "leader/unreachable_zones.hpp"
 #include "scheduling/planner.hpp"
+#include "scheduling/slice_summary.hpp"
 #include "store/watch_cache.hpp"
 
 namespace marblevale {
@@ -69,7 +70,8 @@
   /// Settles open releases by the records, and commits changes that do not depend on the plan.
   void reconcile();
   [[nodiscard]] Planner make_planner(SteadyTime round_begin);
-  [[nodiscard]] std::vector<QueueItem> build_current_queue(WallTime now);
+  [[nodiscard]] std::vector<QueueItem> build_current_queue(const PendingSlices& pending,
+                                                           WallTime now);
   /// Discards the state kept for jobs that are no longer in the queue.
   void retain_only(const std::unordered_set<JobId>& queued_jobs);
   /// Runs the planner within the round's time budget and releases the starts. Preempts when nothing
@@ -100,6 +102,7 @@
   StarvationCheck starvation_;
   UnreachableZones unreachable_zones_;
   PlanningState planning_;
+  SliceSummaryCache slice_summaries_;
   State state_ = State::idle;
   ModRevision term_;
   /// Queue position at which compression continues in the next round. 0 is the front of the queue.
--- a/src/leader/open_releases.cpp
+++ b/src/leader/open_releases.cpp
@@ -330,8 +330,8 @@
   return open == by_slice_.end() ? nullptr : &open->second.after;
 }
 
-Occupancy::Slices OpenReleases::slices() const {
-  Occupancy::Slices out;
+PendingSlices OpenReleases::slices() const {
+  PendingSlices out;
   for (const auto& [key, open] : by_slice_) {
     out.emplace_hint(out.end(), key, PendingSlice{&open.after, open.change});
   }
--- a/src/leader/open_releases.hpp
+++ b/src/leader/open_releases.hpp
@@ -124,7 +124,7 @@
   /// The slice as its open change would leave it, or nullptr when it has no open change.
   [[nodiscard]] const SliceRecord* slice(const SliceKey& key) const;
   /// The slices of all open changes, as those changes would leave them.
-  [[nodiscard]] Occupancy::Slices slices() const;
+  [[nodiscard]] PendingSlices slices() const;
   /// The state of the slice's open change, or nothing when it has none.
   [[nodiscard]] std::optional<State> state(const SliceKey& key) const;
   [[nodiscard]] State state(ReleaseId id) const { return open_.at(id).state; }
--- a/src/leader/planning_state.cpp
+++ b/src/leader/planning_state.cpp
@@ -38,8 +38,8 @@
 }
 
 void PlanningState::sync(const Records& records, const Settings& settings,
-                         const Occupancy::Slices& pending,
-                         const std::vector<BootingMachine>& booting, WallTime now) {
+                         const PendingSlices& pending, const std::vector<BootingMachine>& booting,
+                         WallTime now) {
   occupancy_.sync(records, settings.teams, pending, booting, now);
 }
 
--- a/src/leader/planning_state.hpp
+++ b/src/leader/planning_state.hpp
@@ -32,7 +32,7 @@
   bool rebuild_profile(SteadyTime now);
 
   /// Updates the profile from the records, the open changes (`pending`) and the booting machines.
-  void sync(const Records& records, const Settings& settings, const Occupancy::Slices& pending,
+  void sync(const Records& records, const Settings& settings, const PendingSlices& pending,
             const std::vector<BootingMachine>& booting, WallTime now);
   void set_unreachable_zones(const std::set<ZoneId>& zones, const Records& records) {
     occupancy_.set_unreachable_zones(zones, records);
--- a/src/records/record_set.hpp
+++ b/src/records/record_set.hpp
@@ -55,4 +55,13 @@
   [[nodiscard]] bool alive(const NodeId& node, ProcessIncarnation incarnation) const;
 };
 
+/// Calls `visit` with the number and the record of each slice of the job, in ascending order.
+template <typename Visit>
+void for_each_slice(const Records& records, const JobId& job_id, const Visit& visit) {
+  for (auto it = records.slices.lower_bound({job_id, 0});
+       it != records.slices.end() && it->first.job_id == job_id; ++it) {
+    visit(it->first.number, it->second.record);
+  }
+}
+
 }  // namespace marblevale
--- a/src/scheduling/occupancy.cpp
+++ b/src/scheduling/occupancy.cpp
@@ -149,8 +149,8 @@
   profile_.add_machine(std::move(properties));
 }
 
-void Occupancy::sync_slice(const SliceKey& key, const Records& records, const Slices& pending,
-                           WallTime now) {
+void Occupancy::sync_slice(const SliceKey& key, const Records& records,
+                           const PendingSlices& pending, WallTime now) {
   profile_.release(owner_of(key));
   if (const auto old = earliest_end_of_slice_.find(key); old != earliest_end_of_slice_.end()) {
     earliest_ends_.erase({old->second, key});
@@ -211,7 +211,7 @@
              [this](const MachineId& machine) { return dirty_machines_.contains(machine); });
 }
 
-void Occupancy::mark_pending_dirty(const Slices& pending) {
+void Occupancy::mark_pending_dirty(const PendingSlices& pending) {
   // The open changes of a wide gang stay for many rounds, so a slice is read again only if its
   // change is another one, or if a machine has entered or left the profile.
   std::map<SliceKey, std::uint64_t> changes;
@@ -229,8 +229,9 @@
   last_pending_ = std::move(changes);
 }
 
-void Occupancy::sync(const Records& records, const std::vector<Team>& teams, const Slices& pending,
-                     const std::vector<BootingMachine>& booting, WallTime now) {
+void Occupancy::sync(const Records& records, const std::vector<Team>& teams,
+                     const PendingSlices& pending, const std::vector<BootingMachine>& booting,
+                     WallTime now) {
   if (rebuild_) {
     rebuild_ = false;
     profile_ = Profile{};
--- a/src/scheduling/occupancy.hpp
+++ b/src/scheduling/occupancy.hpp
@@ -10,6 +10,7 @@
 
 #include "config/settings.hpp"
 #include "records/record_set.hpp"
+#include "scheduling/current_slices.hpp"
 #include "scheduling/profile.hpp"
 
 namespace marblevale {
@@ -39,21 +40,9 @@
 WallTime estimated_end(const TaskRecord& task, const JobSpec& job, const Records& records,
                        WallTime now);
 
-/// A slice as an open change would leave it.
-struct PendingSlice {
-  PendingSlice(const SliceRecord* record, std::uint64_t change_id = 0)
-      : slice(record), change(change_id) {}
-
-  const SliceRecord* slice;
-  /// Identifies the slice's content: while it stays the same, the content does. 0: unknown.
-  std::uint64_t change;
-};
-
 /// Owns the profile, and the set of machines and slices that changed since the last `sync`.
 class Occupancy {
  public:
-  using Slices = std::map<SliceKey, PendingSlice>;
-
   /// Marks a machine or slice as changed; the next `sync` reads its records again.
   void mark_machine_dirty(const MachineId& machine_id) { dirty_machines_.insert(machine_id); }
   void mark_slice_dirty(const SliceKey& key) { dirty_slices_.insert(key); }
@@ -66,7 +55,7 @@
   /// Updates the profile for all marked machines and slices. `pending` holds slices that this
   /// controller has committed, or is about to commit, and that the records may not show yet; they
   /// replace the recorded slices.
-  void sync(const Records& records, const std::vector<Team>& teams, const Slices& pending,
+  void sync(const Records& records, const std::vector<Team>& teams, const PendingSlices& pending,
             const std::vector<BootingMachine>& booting, WallTime now);
 
   /// The planner of a round takes the profile from here and puts it back without the allocations of
@@ -76,11 +65,12 @@
 
  private:
   void sync_machine(const MachineId& machine_id, const Records& records, WallTime now);
-  void sync_slice(const SliceKey& key, const Records& records, const Slices& pending, WallTime now);
+  void sync_slice(const SliceKey& key, const Records& records, const PendingSlices& pending,
+                  WallTime now);
   void mark_slices_on_dirty(const MachineId& machine_id, const Records& records);
   /// Marks the slices whose open change has begun, ended or changed since the last `sync`, and
   /// those whose machines have changed.
-  void mark_pending_dirty(const Slices& pending);
+  void mark_pending_dirty(const PendingSlices& pending);
   [[nodiscard]] bool uses_dirty_machine(const SliceKey& key) const;
   void refresh_images(const MachineId& machine_id, const Records& records);
   [[nodiscard]] static std::size_t fetches_at(const MachineId& machine_id, const Records& records);
--- a/tests/job_queue_test.cpp
+++ b/tests/job_queue_test.cpp
@@ -46,11 +46,7 @@
   slice.tasks.resize(8);
   for (TaskRecord& task : slice.tasks) task.attempt = Attempt(1);
   records.slices[{slice.job_id, 0}] = {slice, ModRevision(2)};
-  const auto current = [&](const JobId& job_id, std::uint32_t number) -> const SliceRecord* {
-    const auto* stored = records.slice(job_id, number);
-    return stored == nullptr ? nullptr : &stored->record;
-  };
-  auto queue = build_queue(records, settings, current, at(200), false);
+  auto queue = build_queue(records, {}, settings, at(200), false);
   std::sort(queue.begin(), queue.end(), has_higher_priority);
   ASSERT_EQ(queue.size(), 3U);
   EXPECT_EQ(queue[0].job_id.get(), "req-old");
@@ -58,10 +54,10 @@
   EXPECT_EQ(queue[2].job_id.get(), "req-begun");
   // An overdue job of low urgency ranks before standard jobs that are not overdue.
   records.jobs[JobId("req-old")].record.spec.urgency = Urgency::low;
-  queue = build_queue(records, settings, current, at(200), false);
+  queue = build_queue(records, {}, settings, at(200), false);
   std::sort(queue.begin(), queue.end(), has_higher_priority);
   EXPECT_EQ(queue[0].job_id.get(), "req-old");
-  queue = build_queue(records, settings, current, at(100), false);
+  queue = build_queue(records, {}, settings, at(100), false);
   std::sort(queue.begin(), queue.end(), has_higher_priority);
   EXPECT_EQ(queue[2].job_id.get(), "req-old") << "not yet";
 }
@@ -83,18 +79,21 @@
     task.since = at(100);
   }
   slice.tasks[0].failure_count = 4;
-  const auto current = [&](const JobId&, std::uint32_t) { return &slice; };
-  auto queue = build_queue(records, settings, current, at(105), false);
+  const auto queue_at = [&](double now) {
+    records.slices[{slice.job_id, 0}] = {slice, ModRevision(2)};
+    return build_queue(records, {}, settings, at(now), false);
+  };
+  auto queue = queue_at(105);
   ASSERT_EQ(queue.size(), 1U);
   EXPECT_EQ(queue[0].not_before, at(130));
   // The other task ended a moment later. The backoff counts from the failure, in either order of
   // the tasks.
   std::swap(slice.tasks[0], slice.tasks[1]);
   slice.tasks[0].since = at(100.5);
-  queue = build_queue(records, settings, current, at(105), false);
+  queue = queue_at(105);
   EXPECT_EQ(queue[0].not_before, at(130));
   // After the backoff the gang is queued as a whole.
-  queue = build_queue(records, settings, current, at(131), false);
+  queue = queue_at(131);
   ASSERT_EQ(queue.size(), 1U);
   EXPECT_LE(queue[0].not_before, at(131));
   EXPECT_EQ(queue[0].demand.tasks, 2U) << "a gang places all its tasks, so they are not listed";
@@ -108,8 +107,7 @@
   records.jobs[spec.job_id].record.spec = spec;
   Settings settings;
   settings.zones = {ZoneId("a")};
-  const auto none = [](const JobId&, std::uint32_t) { return nullptr; };
-  const auto queue = build_queue(records, settings, none, at(1), false);
+  const auto queue = build_queue(records, {}, settings, at(1), false);
   ASSERT_EQ(queue.size(), 1U);
   EXPECT_EQ(queue[0].demand.tasks, 100'000U);
   EXPECT_EQ(queue[0].task_indices.capacity(), 0U);
@@ -135,9 +133,9 @@
     ++task.failure_count;
     task.failed_on = MachineId(machine_id);
   };
-  const auto current = [&](const JobId&, std::uint32_t) { return &slice; };
   const auto queue = [&](double now) {
-    return build_queue(records, settings, current, at(now), false);
+    records.slices[{slice.job_id, 0}] = {slice, ModRevision(2)};
+    return build_queue(records, {}, settings, at(now), false);
   };
   fail(0, "vm-1");
   fail(1, "vm-2");
@@ -170,9 +168,9 @@
   slice.job_id = JobId("req-1");
   slice.tasks.resize(1);
   slice.tasks[0].attempt = Attempt(4);
-  const auto current = [&](const JobId&, std::uint32_t) { return &slice; };
   const auto failing = [&] {
-    return build_queue(records, settings, current, at(900), false).at(0).failing;
+    records.slices[{slice.job_id, 0}] = {slice, ModRevision(2)};
+    return build_queue(records, {}, settings, at(900), false).at(0).failing;
   };
   slice.tasks[0].failure_count = 2;
   EXPECT_FALSE(failing());
@@ -188,8 +186,7 @@
   settings.zones = {ZoneId("a"), ZoneId("b")};
   const JobSpec spec = testing::service_job("req-1", 3, 0);
   records.jobs[spec.job_id] = {JobRecord{spec, {}, std::nullopt}, ModRevision(1)};
-  const auto none = [](const JobId&, std::uint32_t) -> const SliceRecord* { return nullptr; };
-  const auto queue = build_queue(records, settings, none, WallTime{Duration{1'000}}, true);
+  const auto queue = build_queue(records, {}, settings, WallTime{Duration{1'000}}, true);
   ASSERT_EQ(queue.size(), 1U);
   EXPECT_FALSE(queue[0].demand.preferred_zone);
 }
--- a/tests/occupancy_test.cpp
+++ b/tests/occupancy_test.cpp
@@ -92,7 +92,7 @@
   }
 
   /// Updates the profile, and compares it with one that is built from nothing.
-  void expect_equals_rebuilt(const Occupancy::Slices& pending,
+  void expect_equals_rebuilt(const PendingSlices& pending,
                              const std::vector<BootingMachine>& booting, int step) {
     occupancy_.sync(records_, teams_, pending, booting, now_);
     Occupancy fresh;
@@ -141,8 +141,8 @@
     }
     pending_[{job_id, 0}] = {std::move(slice), ++last_change_};
   }
-  [[nodiscard]] Occupancy::Slices pending_slices() const {
-    Occupancy::Slices out;
+  [[nodiscard]] PendingSlices pending_slices() const {
+    PendingSlices out;
     for (const auto& [key, open] : pending_)
       out.emplace(key, PendingSlice{&open.first, open.second});
     return out;
--- a/tests/team_without_quota_test.cpp
+++ b/tests/team_without_quota_test.cpp
@@ -34,8 +34,7 @@
 }
 
 std::vector<std::string> queue_order(const Records& records, double now) {
-  const auto none = [](const JobId&, std::uint32_t) -> const SliceRecord* { return nullptr; };
-  auto queue = build_queue(records, two_teams(), none, at(now), false);
+  auto queue = build_queue(records, {}, two_teams(), at(now), false);
   std::sort(queue.begin(), queue.end(), has_higher_priority);
   std::vector<std::string> out;
   out.reserve(queue.size());
