The starvation check reads every slice of an array

What operators saw: a warning `job_starved` for a job that waits for its zone, and a profile made anew for it.

Cause: the check took the first slice without a record for the end of the array. Slices are released in any order (a busy holder leaves some out), so placed tasks may come after it, and a machine in another zone then seemed to fit an array that must stay together.

Change: all recorded slices are read; the tasks without a record are the rest. Found by reading what else stops before the end of a job's slices.

--- a/src/scheduling/starvation.cpp
+++ b/src/scheduling/starvation.cpp
@@ -76,11 +76,9 @@
 /// waits only since then.
 WallTime last_end(const JobId& job_id, const JobRecord& gang, const Records& records) {
   WallTime last = gang.accepted;
-  for (std::uint32_t number = 0; number < slice_count(gang.spec); ++number) {
-    const auto* slice = records.slice(job_id, number);
-    if (slice == nullptr) continue;
-    for (const TaskRecord& task : slice->record.tasks) last = std::max(last, task.since);
-  }
+  for_each_slice(records, job_id, [&last](std::uint32_t, const SliceRecord& slice) {
+    for (const TaskRecord& task : slice.tasks) last = std::max(last, task.since);
+  });
   return last;
 }
 
@@ -101,15 +99,17 @@
                                        const Records& records) {
   WaitingJob waiting{&job, WallTime::max(), {}};
   std::uint32_t idle = 0;
-  for (std::uint32_t number = 0; number < slice_count(job.spec); ++number) {
-    const auto* slice = records.slice(job_id, number);
-    if (slice != nullptr) {
-      idle += add_slice(waiting, slice->record);
-      continue;
-    }
-    idle += slice_size(job.spec, number);
+  std::uint32_t recorded = 0;
+  // The slices of an array may be released in any order, so a slice without a record says nothing
+  // about the later ones.
+  for_each_slice(records, job_id, [&](std::uint32_t number, const SliceRecord& slice) {
+    if (number >= slice_count(job.spec)) return;  // not a slice of this job
+    idle += add_slice(waiting, slice);
+    recorded += slice_size(job.spec, number);
+  });
+  if (recorded < job.spec.task_count) {
+    idle += job.spec.task_count - recorded;
     waiting.since = std::min(waiting.since, job.accepted);
-    if (!job.spec.gang()) break;  // the later slices have not begun either
   }
   if (idle == 0) return std::nullopt;
   if (job.spec.gang()) {
--- a/tests/wide_array_test.cpp
+++ b/tests/wide_array_test.cpp
@@ -2,6 +2,7 @@
 // last slice. Guards against decisions about a job from only the first of its slices.
 #include "api/job_explanation.hpp"
 #include "scheduling/job_queue.hpp"
+#include "scheduling/starvation.hpp"
 #include "scheduling/task_scan.hpp"
 #include "support/event_queue.hpp"
 #include "support/leader_loop_fixture.hpp"
@@ -199,6 +200,26 @@
   EXPECT_EQ(json::number(why, "retry_in_s"), 0.0);
 }
 
+// Slices are released in any order, so a slice without a record may come before a placed one.
+TEST_P(WideArrayQueue, StarvationSeesThePlacedTaskOfTheLastSlice) {
+  MachineType type;
+  type.name = "g8";
+  type.resources = {96, 8, 768};
+  records_.types = Versioned<std::vector<MachineType>>{{type}, ModRevision(1)};
+  records_.machines[MachineId("vm-2")] = {testing::machine_record("vm-2", at(0), "b"),
+                                          ModRevision(1)};
+  job_.single_zone = true;
+  add_job(job_);
+  const auto find = [&] {
+    return find_starved(records_, settings_, at(100), Duration{30'000}, Duration{60'000}, 32);
+  };
+  EXPECT_EQ(find().size(), 1U);
+  put(last_slice_placed_in(job_, "a"));
+  EXPECT_TRUE(find().empty()) << "room is in the other zone only";
+  put(last_slice_placed_in(job_, "b"));
+  EXPECT_EQ(find().size(), 1U);
+}
+
 // The cache must not hide a change of a slice.
 TEST_P(WideArrayQueue, CachedSummariesEqualThoseReadAnew) {
   job_.spread_zones = true;
