A slice that can't be read may have placed tasks

What users would see: a cancelled job called ended while tasks of it are still on machines, and tasks of a job that must stay in one zone, or be spread, started beside unknown ones.

Cause: a slice whose record this version can't read is missing from the records, so it was taken for one without tasks. Quota already counts such a slice in full.

Evidence: LeaderCacheTest.ACancelledJobWithAnUnreadableSliceIsNotEnded and WideArrayQueue.AnUnreadableSliceKeepsAJobThatIsBoundToAZoneWaiting (300, 5,000 and 100,000 tasks) failed without the guards.

Change: such a job does not end, is not queued if it is a gang or bound to zones, and is no finding of the starvation check. Other arrays go on with the slices that can be read.

--- a/src/leader/job_cleanup.cpp
+++ b/src/leader/job_cleanup.cpp
@@ -57,18 +57,18 @@
 }
 
 bool JobCleanup::is_finished(const JobId& job_id, const Versioned<JobRecord>& job) const {
-  const auto& slices = cache_.records().slices;
+  // Tasks that this version can't read may be placed.
+  if (cache_.records().has_unreadable_slice(job_id)) return false;
   std::uint32_t slices_done = 0;
   bool any_placed = false;
   bool any_done = false;
-  for (auto it = slices.lower_bound({job_id, 0}); it != slices.end() && it->first.job_id == job_id;
-       ++it) {
-    if (it->second.record.all_done()) ++slices_done;
-    for (const TaskRecord& task : it->second.record.tasks) {
+  for_each_slice(cache_.records(), job_id, [&](std::uint32_t, const SliceRecord& slice) {
+    if (slice.all_done()) ++slices_done;
+    for (const TaskRecord& task : slice.tasks) {
       any_placed = any_placed || task.placed();
       any_done = any_done || task.state == TaskState::done;
     }
-  }
+  });
   if (job.record.cancelled) {
     // The watch cache shows this controller's own commit of the cancellation before the watch has
     // delivered earlier commits of others, such as a binding. The job may end only once the cache
@@ -109,14 +109,12 @@
 }
 
 void JobCleanup::delete_machines_of_cancelled(const JobId& job_id) {
-  const auto& slices = cache_.records().slices;
-  for (auto it = slices.lower_bound({job_id, 0}); it != slices.end() && it->first.job_id == job_id;
-       ++it) {
-    for (const TaskRecord& task : it->second.record.tasks) {
+  for_each_slice(cache_.records(), job_id, [this](std::uint32_t, const SliceRecord& slice) {
+    for (const TaskRecord& task : slice.tasks) {
       if (task.state != TaskState::bound) continue;
       autoscaler_.request_deletion(task.machine_id, DeletionReason::holds_cancelled_task);
     }
-  }
+  });
 }
 
 void JobCleanup::delete_unrecorded_machines() {
--- a/src/records/keys.cpp
+++ b/src/records/keys.cpp
@@ -8,8 +8,9 @@
 std::string shard(const ZoneId& zone) { return "mv/blocks/" + zone.get(); }
 std::string job(const JobId& job_id) { return "mv/jobs/" + job_id.get(); }
 std::string guarantee_record(const JobId& job_id) { return "mv/grants/" + job_id.get(); }
+std::string slices_of(const JobId& job_id) { return "mv/slices/" + job_id.get() + "/"; }
 std::string slice(const JobId& job_id, std::uint32_t number) {
-  return "mv/slices/" + job_id.get() + "/" + std::to_string(number);
+  return slices_of(job_id) + std::to_string(number);
 }
 std::string machine_page(const ZoneId& zone, const MachineId& machine_id) {
   const std::string& name = machine_id.get();
--- a/src/records/keys.hpp
+++ b/src/records/keys.hpp
@@ -23,6 +23,8 @@
 std::string job(const JobId& job_id);
 std::string guarantee_record(const JobId& job_id);
 std::string slice(const JobId& job_id, std::uint32_t number);
+/// The common prefix of the keys of the job's slices.
+std::string slices_of(const JobId& job_id);
 /// The key of the page that holds the machine. A machine whose name does not end in a number has a
 /// page of its own.
 std::string machine_page(const ZoneId& zone, const MachineId& machine_id);
--- a/src/records/record_set.cpp
+++ b/src/records/record_set.cpp
@@ -32,4 +32,10 @@
   return it != nodes.end() && it->second.record.incarnation == incarnation;
 }
 
+bool Records::has_unreadable_slice(const JobId& job_id) const {
+  const std::string prefix = keys::slices_of(job_id);
+  const auto first = unreadable.lower_bound(prefix);
+  return first != unreadable.end() && first->compare(0, prefix.size(), prefix) == 0;
+}
+
 }  // namespace marblevale
--- a/src/records/record_set.hpp
+++ b/src/records/record_set.hpp
@@ -53,6 +53,9 @@
   [[nodiscard]] const MachineType* type(const std::string& name) const;
   /// True while the given incarnation of the controller is registered.
   [[nodiscard]] bool alive(const NodeId& node, ProcessIncarnation incarnation) const;
+  /// True when this version can't read one of the job's slices, so that the job's tasks are known
+  /// only in part.
+  [[nodiscard]] bool has_unreadable_slice(const JobId& job_id) const;
 };
 
 /// Calls `visit` with the number and the record of each slice of the job, in ascending order.
--- a/src/scheduling/job_queue.cpp
+++ b/src/scheduling/job_queue.cpp
@@ -67,6 +67,12 @@
   scan.add_unrecorded(next_task, spec.task_count - next_task);
 }
 
+/// True when tasks that this version can't read may forbid a place for the others.
+bool depends_on_unreadable_tasks(const JobId& job_id, const JobSpec& spec, const Records& records) {
+  return (spec.gang() || spec.single_zone || spec.spread_zones) &&
+         records.has_unreadable_slice(job_id);
+}
+
 /// The latest start that meets the objective. Returns nothing when the objective does not limit the
 /// job's start.
 std::optional<WallTime> latest_start(const Objective& objective, const JobSpec& job,
@@ -113,7 +119,7 @@
                                          const Records& records, const PendingSlices& pending,
                                          WallTime now, SliceSummaryCache* cache) {
   const JobSpec& spec = job.spec;
-  if (job.cancelled) return std::nullopt;
+  if (job.cancelled || depends_on_unreadable_tasks(job_id, spec, records)) return std::nullopt;
   TaskScan scan(spec, now);
   scan_tasks(scan, job_id, spec, records, pending, cache);
   auto selection = scan.take_selection();
--- a/src/scheduling/starvation.cpp
+++ b/src/scheduling/starvation.cpp
@@ -97,6 +97,7 @@
 /// Returns nothing when the job has no task that could be placed.
 std::optional<WaitingJob> find_waiting(const JobId& job_id, const JobRecord& job,
                                        const Records& records) {
+  if (records.has_unreadable_slice(job_id)) return std::nullopt;  // its tasks are not all known
   WaitingJob waiting{&job, WallTime::max(), {}};
   std::uint32_t idle = 0;
   std::uint32_t recorded = 0;
--- a/tests/leader_cache_test.cpp
+++ b/tests/leader_cache_test.cpp
@@ -103,6 +103,24 @@
   EXPECT_TRUE(store_.get(keys::final_job(spec.job_id)));
 }
 
+// A slice that this version can't read may have placed tasks, and its job ended beside them.
+TEST_F(LeaderCacheTest, ACancelledJobWithAnUnreadableSliceIsNotEnded) {
+  begin();
+  const JobSpec spec = testing::batch("req-1", 2 * kSliceTasks, 1, 60);
+  SliceRecord slice;
+  slice.job_id = spec.job_id;
+  slice.tasks.resize(kSliceTasks);
+  testing::put_slice(store_, slice);
+  store_.put(keys::slice(spec.job_id, 1), R"({"v":99})");
+  testing::put_job(store_, spec, time_.wall(), time_.wall());
+  run(Duration{1'000});
+  EXPECT_TRUE(store_.get(keys::job(spec.job_id)));
+  slice.number = 1;
+  testing::put_slice(store_, slice);
+  run(Duration{1'000});
+  EXPECT_TRUE(store_.get(keys::final_job(spec.job_id)));
+}
+
 TEST_F(LeaderCacheTest, ZoneConstraintsCountTasksOnMachinesWithoutARecord) {
   use_two_zones();
   set_limit(100);
--- a/tests/wide_array_test.cpp
+++ b/tests/wide_array_test.cpp
@@ -200,6 +200,18 @@
   EXPECT_EQ(json::number(why, "retry_in_s"), 0.0);
 }
 
+TEST_P(WideArrayQueue, AnUnreadableSliceKeepsAJobThatIsBoundToAZoneWaiting) {
+  add_job(job_);
+  records_.unreadable.insert(keys::slice(job_.job_id, slice_count(job_) - 1));
+  EXPECT_TRUE(item(10)) << "its tasks may be anywhere";
+  for (bool JobSpec::*const constraint : {&JobSpec::single_zone, &JobSpec::spread_zones}) {
+    JobSpec constrained = job_;
+    constrained.*constraint = true;
+    add_job(constrained);
+    EXPECT_FALSE(item(10));
+  }
+}
+
 // Slices are released in any order, so a slice without a record may come before a placed one.
 TEST_P(WideArrayQueue, StarvationSeesThePlacedTaskOfTheLastSlice) {
   MachineType type;
