--- a/src/api/job_status.hpp
+++ b/src/api/job_status.hpp
@@ -30,10 +30,9 @@
 /// Calls `visit(const TaskRecord&)` for each task of the job.
 template <typename Visit>
 void for_each_task(const Records& records, const JobId& job_id, Visit visit) {
-  for (auto it = records.slices.lower_bound({job_id, 0});
-       it != records.slices.end() && it->first.job_id == job_id; ++it) {
-    for (const TaskRecord& task : it->second.record.tasks) visit(task);
-  }
+  for_each_slice(records, job_id, [&visit](std::uint32_t, const SliceRecord& slice) {
+    for (const TaskRecord& task : slice.tasks) visit(task);
+  });
 }
 
 [[nodiscard]] TaskCounts count_tasks(const Records& records, const JobId& job_id);
--- a/src/scheduling/machine_evacuation.cpp
+++ b/src/scheduling/machine_evacuation.cpp
@@ -17,26 +17,22 @@
 template <typename Predicate>
 void add_tasks(Evacuation& out, const JobId& job_id, const Records& records,
                const Predicate& must_leave) {
-  for (auto it = records.slices.lower_bound({job_id, 0});
-       it != records.slices.end() && it->first.job_id == job_id; ++it) {
-    const auto& tasks = it->second.record.tasks;
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-      if (tasks[i].placed() && !tasks[i].stop && must_leave(tasks[i])) {
-        out.tasks[it->first.number].insert(i);
-      }
+  for_each_slice(records, job_id, [&](std::uint32_t number, const SliceRecord& slice) {
+    for (std::size_t i = 0; i < slice.tasks.size(); ++i) {
+      const TaskRecord& task = slice.tasks[i];
+      if (task.placed() && !task.stop && must_leave(task)) out.tasks[number].insert(i);
     }
-  }
+  });
 }
 
 /// True when all replicas of the job are running and none is being stopped.
 bool all_replicas_running(const JobSpec& job, const Records& records) {
   std::uint32_t placed = 0;
-  for (auto it = records.slices.lower_bound({job.job_id, 0});
-       it != records.slices.end() && it->first.job_id == job.job_id; ++it) {
-    for (const TaskRecord& task : it->second.record.tasks) {
+  for_each_slice(records, job.job_id, [&placed](std::uint32_t, const SliceRecord& slice) {
+    for (const TaskRecord& task : slice.tasks) {
       if (task.placed() && !task.stop && task.running_since != WallTime{}) ++placed;
     }
-  }
+  });
   return placed == job.task_count;
 }
 
