A holder forgets no start by time

What users would see: a cancelled or stopped task freed while its start is still on its way, and then running again, or on two machines.

Cause: the starts that a holder sent directly are remembered with the worker, and a worker without a record was forgotten after 30 s without a heartbeat. No sentence of the protocol gives such a bound: messages may arrive minutes late. A page of machine records that can't be read for a while has that effect under an unchanged fencing token, if the lease is longer than 30 s. Everything else that makes a holder forget (its end, a lost shard, a deleted machine) comes with a higher token or the machine's end.

Evidence: DelayedMessageTest.AStartIsRememberedWhileItsMachineHasNoRecord failed before (the task was freed at the first heartbeat). Not seen in any run of processes.

Change: a worker is kept while a direct start to it may still arrive.

--- a/src/shards/worker_registry.cpp
+++ b/src/shards/worker_registry.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr Duration kMinProcessPause{3'000};  // in addition to the interval between two sweeps
-/// For a worker without heartbeats and without a record.
+/// For a worker without heartbeats, without a record and without a start that may still arrive.
 constexpr Duration kUnregisteredWorkerRetention{30'000};
 }  // namespace
 
@@ -41,12 +41,19 @@
 
 void WorkerRegistry::forget_gone(SteadyTime now) {
   const auto& machines = context_.cache.records().machines;
+  const auto is_unregistered_and_idle = [now](const KnownWorker& worker) {
+    // Time does not rule out that a direct start arrives, so a worker that may still execute one is
+    // kept: its record may only be unreadable for a while.
+    return now - worker.last_heartbeat_at > kUnregisteredWorkerRetention &&
+           worker.status.direct_starts.empty();
+  };
   std::erase_if(workers_, [&](const auto& entry) {
+    const KnownWorker& worker = entry.second;
     const auto machine = machines.find(entry.first);
     const bool gone = machine == machines.end()
-                          ? now - entry.second.last_heartbeat_at > kUnregisteredWorkerRetention
+                          ? is_unregistered_and_idle(worker)
                           : machine->second.record.state == MachineState::gone;
-    return gone && !entry.second.order_request_in_flight;
+    return gone && !worker.order_request_in_flight;
   });
 }
 
--- a/src/shards/worker_registry.hpp
+++ b/src/shards/worker_registry.hpp
@@ -63,7 +63,7 @@
   void expect_heartbeats(const MachineRecord& machine, SteadyTime now);
   void forget_zone(const ZoneId& zone);
   /// Forgets machines that are gone according to the records, and workers without a record that no
-  /// longer send heartbeats.
+  /// longer send heartbeats and can't execute an earlier start.
   void forget_gone(SteadyTime now);
 
   /// The tasks in the last heartbeats of all workers.
--- a/tests/delayed_message_test.cpp
+++ b/tests/delayed_message_test.cpp
@@ -86,6 +86,37 @@
       << "a higher fencing token excludes that";
 }
 
+// A machine's record may be unreadable for a while. The holder then forgot the start with the
+// worker, under an unchanged fencing token, and took a start that was still on its way for one that
+// could not arrive.
+TEST_F(DelayedMessageTest, AStartIsRememberedWhileItsMachineHasNoRecord) {
+  settings_.workers.lease = Duration{45'000};  // the machine is silent for less
+  bind_and_start();
+  const auto seen_token = token();
+  const std::string page = keys::machine_page(ZoneId("a"), MachineId("vm-1"));
+  const std::string readable = store_.get(page)->value;
+  store_.put(page, R"({"v":99})");
+  for (int second = 0; second < 40; ++second) {
+    leave_orders_unanswered();
+    run(Duration{1'000});
+  }
+  leave_orders_unanswered();
+  ASSERT_FALSE(cache_.records().machines.contains(MachineId("vm-1")));
+  store_.put(page, readable);
+  run(Duration{50});
+  ASSERT_EQ(token(), seen_token);
+  cancel();
+  run(Duration{50});
+  handle_heartbeat(1, seen_token);
+  run(Duration{50});
+  EXPECT_EQ(task().state, TaskState::bound) << "the start may still arrive";
+  run(Duration{9'000});
+  ASSERT_GT(token(), seen_token);
+  handle_heartbeat(1, token());
+  run(Duration{50});
+  EXPECT_EQ(task().state, TaskState::idle) << "a higher fencing token excludes that";
+}
+
 TEST_F(DelayedMessageTest, TheShardOfAnEarlierIncarnationIsReacquiredAndItsDelayedCommitsFail) {
   store_.scripts.assign(50, Script::refuse);
   assign_shard("me", 6);
--- a/tests/support/shard_holder_fixture.hpp
+++ b/tests/support/shard_holder_fixture.hpp
@@ -82,6 +82,14 @@
     }
   }
 
+  /// Ends the wait for all unanswered orders without an answer. The orders may still arrive.
+  void leave_orders_unanswered() {
+    for (; answered_orders_ < workers_.sent.size(); ++answered_orders_) {
+      const auto reply = workers_.sent[answered_orders_].reply;
+      reply(HttpReply::no_answer());
+    }
+  }
+
   /// Stores the job req-1 with one task, which the leader has released to vm-1.
   void release(bool gang = true) {
     release(gang ? testing::gang("req-1", 1, 1, 100) : testing::batch("req-1", 1, 1, 100));
