Tests: late and repeated starts, at one holder and in a cluster

On another service a task ran on two machines, and a cancelled one ran again, after a controller or a machine was back within a second and a copy of a start that had been carried out arrived. Whether this can happen here is tested at two levels. Both hold each executed start against the state service: the record must bind the task to that machine and attempt.

The simulated workers now drop answers after 4 s and those to an earlier session, and have one heartbeat in flight, as the protocol says.

--- a/tests/support/simulated_cluster.hpp
+++ b/tests/support/simulated_cluster.hpp
@@ -1,7 +1,7 @@
 // A small cluster for randomised tests: controllers with their leader and shard holders, workers
 // that execute orders, and a state service. A seeded random generator decides which requests
 // to the state service are refused, delayed or lose their answers, which offers between controllers
-// are delayed, duplicated or lose their answers, and which orders to workers are late.
+// are delayed, duplicated or lose their answers, and which orders to workers are late or copied.
 #pragma once
 
 #include <functional>
@@ -127,7 +127,10 @@
     MachineRecord machine = machine_record(name, time.wall(), zone);
     machine.address = name;
     store.put_machine(machine);
-    workers.emplace(name, SimulatedWorker(name, zone));
+    SimulatedWorker& worker = workers.emplace(name, SimulatedWorker(name, zone)).first->second;
+    worker.on_start = [this, name](const std::string& task_id, std::uint64_t attempt) {
+      check_start(name, task_id, attempt);
+    };
   }
 
   void replace_machine(const std::string& name) {
@@ -150,16 +153,53 @@
     events.run_due();
     store.deliver_watch_events();
     for (auto& [name, worker] : workers) {
+      if (worker.hangs(time.steady())) continue;
       worker.step(time.steady(), Duration{12'000});
       if (time.steady() < worker.next_heartbeat) continue;
+      if (copies_orders) {
+        send_heartbeat(worker);
+        continue;
+      }
       worker.next_heartbeat = time.steady() + random.span(500, 1'200);
+      const auto sent = worker.sent_at(time.steady());
       if (SimulatedController* holder = holder_of(worker.zone())) {
         const HeartbeatReply answer = holder->holder.handle_heartbeat(worker.heartbeat());
-        worker.on_answer(answer, time.steady(), random);
+        worker.on_answer(answer, sent, time.steady(), random);
       }
     }
   }
 
+  /// Sends a heartbeat through the network, which delays or loses some heartbeats and some answers,
+  /// and delivers some heartbeats twice.
+  void send_heartbeat(SimulatedWorker& worker) {
+    const std::string body = worker.heartbeat();
+    const auto sent = worker.sent_at(time.steady());
+    worker.next_heartbeat = sent.at + SimulatedWorker::kAnswerTimeout;
+    const bool late = network_faults && random.chance(0.05);
+    events.after(late ? random.span(2'000, 15'000) : random.span(2, 20),
+                 [this, name = worker.name(), zone = worker.zone(), body, sent] {
+                   answer_heartbeat(name, zone, body, sent);
+                 });
+    if (network_faults && random.chance(0.1)) {
+      events.after(random.span(500, 20'000), [this, zone = worker.zone(), body] {
+        if (SimulatedController* holder = holder_of(zone)) holder->holder.handle_heartbeat(body);
+      });
+    }
+  }
+  void answer_heartbeat(const std::string& name, const std::string& zone, const std::string& body,
+                        const SimulatedWorker::SentHeartbeat& sent) {
+    SimulatedController* holder = holder_of(zone);
+    if (holder == nullptr) return;
+    const HeartbeatReply answer = holder->holder.handle_heartbeat(body);
+    if (network_faults && random.chance(0.25)) return;
+    events.after(random.span(2, 20), [this, name, answer, sent] {
+      const auto it = workers.find(name);
+      if (it == workers.end()) return;
+      it->second.on_answer(answer, sent, time.steady(), random);
+      it->second.next_heartbeat = time.steady() + random.span(500, 1'200);
+    });
+  }
+
   SimulatedController* holder_of(const std::string& zone) {
     const auto shard = stored_record<ShardRecord>(store, keys::shard(ZoneId(zone)));
     if (!shard) return nullptr;
@@ -206,6 +246,36 @@
     return "";
   }
 
+  /// The machine that executed a start of a task which was not bound to it by the records in the
+  /// state service, and the task; empty when there was none.
+  [[nodiscard]] const std::string& unbound_start() const { return unbound_start_; }
+  /// The starts that workers have executed.
+  [[nodiscard]] std::size_t starts() const { return starts_; }
+
+  /// Delivers the order to the worker, once it no longer hangs. A machine that is gone does not
+  /// answer.
+  void deliver_order(const std::string& address, const std::string& body, const HttpHandler& then) {
+    const auto it = workers.find(address);
+    if (it == workers.end()) return then(HttpReply::no_answer());
+    SimulatedWorker& worker = it->second;
+    if (worker.hangs(time.steady())) {
+      events.after(worker.hangs_until() - time.steady(),
+                   [this, address, body, then] { deliver_order(address, body, then); });
+      return;
+    }
+    const int status = worker.on_order(body, time.steady(), random);
+    then(HttpReply::answer(status, worker.heartbeat()));
+  }
+  /// Delivers a copy of some orders once more: within a second, within seconds, or minutes late.
+  void copy_order(const std::string& address, const std::string& body) {
+    if (!copies_orders || !random.chance(0.6)) return;
+    const Duration delay = random.chance(0.4)   ? random.span(1, 1'000)
+                           : random.chance(0.6) ? random.span(1'000, 20'000)
+                                                : random.span(60'000, 180'000);
+    events.after(delay,
+                 [this, address, body] { deliver_order(address, body, [](const HttpReply&) {}); });
+  }
+
   [[nodiscard]] std::size_t unfinished_jobs() const {
     std::size_t count = 0;
     for (const auto& [job_id, spec] : specs) count += store.get(keys::job(spec.job_id)) ? 1 : 0;
@@ -223,8 +293,25 @@
   std::map<std::string, JobSpec> specs;
   std::map<NodeId, std::unique_ptr<SimulatedController>> controllers;
   bool network_faults = false;
+  bool copies_orders = false;
 
  private:
+  void check_start(const std::string& machine_id, const std::string& task_id,
+                   std::uint64_t attempt) {
+    ++starts_;
+    const auto slash = task_id.find('/');
+    const auto index = static_cast<std::uint32_t>(std::stoul(task_id.substr(slash + 1)));
+    const JobId job_id(task_id.substr(0, slash));
+    const auto slice = stored_record<SliceRecord>(store, keys::slice(job_id, index / kSliceTasks));
+    const TaskRecord* task = slice ? &slice->tasks.at(index % kSliceTasks) : nullptr;
+    const bool bound =
+        task != nullptr && store.get(keys::job(job_id)) && task->state == TaskState::bound &&
+        task->machine_id == MachineId(machine_id) && task->attempt == Attempt(attempt);
+    if (!bound) unbound_start_ = task_id + " on " + machine_id;
+  }
+
+  std::size_t starts_ = 0;
+  std::string unbound_start_;
   std::uint64_t last_incarnation_ = 0;
   std::uint64_t last_machine_ = 0;
 };
@@ -292,22 +379,23 @@
 
 inline void ControllerNetwork::send(const std::string& address, std::string body,
                                     HttpHandler then) {
-  const auto execute = [&cluster = cluster_, address, body]() -> HttpReply {
-    const auto it = cluster.workers.find(address);
-    if (it == cluster.workers.end()) return HttpReply::no_answer();
-    const int status = it->second.on_order(body, cluster.time.steady(), cluster.random);
-    return HttpReply::answer(status, it->second.heartbeat());
+  cluster_.copy_order(address, body);
+  const auto execute = [&cluster = cluster_, address, body](const HttpHandler& on_reply) {
+    cluster.deliver_order(address, body, on_reply);
   };
   const auto answer = [alive = std::weak_ptr<bool>(alive_), then](const HttpReply& reply) {
     if (!alive.expired()) then(reply);
   };
-  if (cluster_.network_faults && cluster_.random.chance(0.15)) {
+  if (cluster_.network_faults && cluster_.random.chance(cluster_.copies_orders ? 0.3 : 0.15)) {
     // The order is executed after the sender's timeout of 2 s, and its answer is lost.
-    cluster_.events.after(cluster_.random.span(2'000, 12'000), [execute] { execute(); });
+    const bool minutes_late = cluster_.copies_orders && cluster_.random.chance(0.3);
+    const Duration delay =
+        minutes_late ? cluster_.random.span(60'000, 180'000) : cluster_.random.span(2'000, 12'000);
+    cluster_.events.after(delay, [execute] { execute([](const HttpReply&) {}); });
     cluster_.events.after(Duration{2'000}, [answer] { answer(HttpReply::no_answer()); });
     return;
   }
-  cluster_.events.after(cluster_.random.span(2, 20), [execute, answer] { answer(execute()); });
+  cluster_.events.after(cluster_.random.span(2, 20), [execute, answer] { execute(answer); });
 }
 
 }  // namespace marblevale::testing
--- a/tests/support/simulated_worker.hpp
+++ b/tests/support/simulated_worker.hpp
@@ -1,6 +1,8 @@
 // A worker that follows the published protocol: sessions, leases, orders and heartbeats.
 #pragma once
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,6 +24,9 @@
     SteadyTime until;  // planned end while the task runs, actual end afterwards
   };
 
+  /// Answers to heartbeats are dropped after this time.
+  static constexpr Duration kAnswerTimeout{4'000};
+
   SimulatedWorker(std::string name, std::string zone)
       : name_(std::move(name)), zone_(std::move(zone)) {}
 
@@ -31,6 +36,22 @@
     return tasks_;
   }
   SteadyTime next_heartbeat;
+  Duration min_run{1'000};
+  Duration max_run{5'000};
+  /// Called when the worker executes a start that it does not know, with the task and its attempt.
+  std::function<void(const std::string& task_id, std::uint64_t attempt)> on_start;
+
+  [[nodiscard]] std::uint64_t session() const { return session_; }
+  /// The machine hangs until then: it sends no heartbeats, and orders to it wait.
+  void hang(SteadyTime until) { hangs_until_ = until; }
+  [[nodiscard]] bool hangs(SteadyTime now) const { return now < hangs_until_; }
+  [[nodiscard]] SteadyTime hangs_until() const { return hangs_until_; }
+  /// The machine is back after it lost its tasks.
+  void begin_session(SteadyTime now) {
+    tasks_.clear();
+    ++session_;
+    last_answered_ = now;
+  }
 
   std::string heartbeat() {
     json::Writer out;
@@ -55,13 +76,24 @@
     return out.str();
   }
 
-  void on_answer(const HeartbeatReply& answer, SteadyTime now, RandomSource& random) {
+  /// The time and session in which a heartbeat was sent.
+  struct SentHeartbeat {
+    SteadyTime at;
+    std::uint64_t session = 0;
+  };
+  [[nodiscard]] SentHeartbeat sent_at(SteadyTime now) const { return {now, session_}; }
+
+  /// Handles the answer to the heartbeat that was sent last. The worker waits for it for
+  /// `kAnswerTimeout`, and does not send another heartbeat meanwhile.
+  void on_answer(const HeartbeatReply& answer, const SentHeartbeat& sent, SteadyTime now,
+                 RandomSource& random) {
+    if (sent.session != session_ || now - sent.at > kAnswerTimeout) return;
     json::Document doc;
     if (answer.status != 200 || !json::parse(doc, answer.body)) return;
     const auto token = json::count(doc, "warrant");
     if (!token || *token < token_) return;
     token_ = *token;
-    last_answered_ = now;
+    last_answered_ = std::max(last_answered_, sent.at);
     execute(doc, now, random);
   }
 
@@ -82,10 +114,7 @@
       if (!task.ended && now >= task.until) task = {true, "done", now};
     }
     if (last_answered_ == SteadyTime{}) last_answered_ = now;
-    if (now - last_answered_ <= lease) return;
-    tasks_.clear();
-    ++session_;
-    last_answered_ = now;
+    if (now - last_answered_ > lease) begin_session(now);
   }
 
  private:
@@ -95,7 +124,8 @@
       const std::string verb = *json::text(order, "verb");
       const auto it = tasks_.find(id);
       if (verb == "start" && it == tasks_.end()) {
-        tasks_[id] = {false, "", now + random.span(1'000, 5'000)};
+        tasks_[id] = {false, "", now + random.span(min_run.count(), max_run.count())};
+        if (on_start) on_start(id.first, id.second);
       } else if (verb == "kill" && it != tasks_.end() && !it->second.ended) {
         it->second = {true, "halted", now};
       } else if (verb == "clear" && it != tasks_.end() && it->second.ended) {
@@ -110,6 +140,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t token_ = 0;
   SteadyTime last_answered_{};
+  SteadyTime hangs_until_{};
   std::map<std::pair<std::string, std::uint64_t>, Task> tasks_;
 };
 
