Changes of one answer are applied in the order of their revisions

Cause: an answer of the watch may name a deletion before an older put of its key; the protocol promises no order within an answer, and each change has its stamp. The copy forgot a key's revision when it applied the deletion, so the older put passed, and the deleted record stayed for good. The leader's record and the machine types, which keep their last readable version, took theirs by the order of arrival too.

Why this works: an answer has all changes up to its revision and the next one begins behind it, so sorting each answer gives the copy and its listeners what they get in order. No revisions of deleted keys have to be kept.

Evidence: the scripted state service draws the order within an answer from a seed, or names the newest change first. The scripted state service also refuses a transaction that changes a key twice: no revision would tell which change is newer.

--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -91,8 +91,8 @@
 struct WatchResult {
   /// `too_old`: the store no longer keeps all changes after the requested revision.
   enum class Kind { changes, too_old, failed } kind = Kind::failed;
-  std::vector<Change> changes;
-  Revision revision;  // `changes` has every change up to this revision
+  std::vector<Change> changes;  // in any order, only their revisions tell which is newer
+  Revision revision;            // `changes` has every change up to this revision
 };
 
 struct LeaseResult {
--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <tuple>
 
 namespace marblevale {
 
@@ -27,6 +28,18 @@
          (kind == RecordKind::machine && is_compact_page(value));
 }
 
+/// The changes of one answer in the order of their commits. The order by key only makes the result
+/// independent of the answer, because no transaction changes a key twice.
+std::vector<const Change*> in_commit_order(const std::vector<Change>& changes) {
+  std::vector<const Change*> ordered;
+  ordered.reserve(changes.size());
+  for (const Change& change : changes) ordered.push_back(&change);
+  std::sort(ordered.begin(), ordered.end(), [](const Change* left, const Change* right) {
+    return std::tie(left->mod_revision, left->key) < std::tie(right->mod_revision, right->key);
+  });
+  return ordered;
+}
+
 Duration watch_interval(const StoreLimits& limits) {
   return Duration{static_cast<std::int64_t>(1000.0 * static_cast<double>(limits.nodes) /
                                             (limits.rps * kWatchRequestShare))};
@@ -186,7 +199,9 @@
 
 void WatchCache::apply_watched(const WatchResult& result, const Moment& opened) {
   const auto timed = metrics_.time(Duty::watch);
-  for (const Change& change : result.changes) apply(change);
+  // The copy doesn't remember the revisions of deleted keys. A deletion that was applied before an
+  // older put of its key would be undone by the put.
+  for (const Change* change : in_commit_order(result.changes)) apply(*change);
   if (result.revision > revision_) revision_ = result.revision;
   std::erase_if(own_deletions_,
                 [this](const auto& entry) { return entry.second.get() <= revision_.get(); });
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -61,14 +61,18 @@
   /// The share of the write budget that is unused, from 0 to 1.
   [[nodiscard]] double write_slack() { return store_.write_slack(); }
 
-  /// Registers a listener that is called with a record's kind and name after each of its changes.
+  /// Registers a listener that is called with a record's kind and name after each of its changes,
+  /// in the order of their commits. Between the calls for one answer the copy may have a
+  /// transaction in part, and `revision` is still that of the answer before, so a listener only
+  /// notes what changed.
   void listen(std::function<void(RecordKind, const std::string& name)> listener);
 
   /// Commits the transaction. On success the copy has the change before `then` is called.
   void commit(RequestPriority priority, Transaction txn,
               std::function<void(const CommitResult&)> then);
 
-  /// Applies one change, unless the copy has this or a newer revision of the key. Public for tests.
+  /// Applies one change, unless the copy has this or a newer revision of the key. Changes of a key
+  /// that may have been deleted must be applied in the order of their revisions. Public for tests.
   void apply(const Change& change);
 
  private:
--- a/tests/job_api_status_test.cpp
+++ b/tests/job_api_status_test.cpp
@@ -94,5 +94,15 @@
   EXPECT_EQ(status_in(status_of("req-000412")), "done");
 }
 
+// Guards against a job that is called running for good after another controller has called it done:
+// the answer that named both its end and its acceptance named the end first.
+TEST_F(JobApiStatusTest, AJobWhoseEndIsNamedBeforeItsAcceptanceIsDone) {
+  update_cache();
+  store_.answer_order = testing::AnswerOrder::newest_first;
+  end_job("req-000412", accept_on_peer("req-000412"));
+  update_cache();
+  EXPECT_EQ(status_in(status_of("req-000412")), "done");
+}
+
 }  // namespace
 }  // namespace marblevale
--- a/tests/support/scripted_store.hpp
+++ b/tests/support/scripted_store.hpp
@@ -2,10 +2,13 @@
 // watches. A test scripts how the next commits fail and when requests are answered.
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 
@@ -30,6 +33,8 @@
     drop_answer,   // executed, but not answered
     delay          // not answered, and executed by `apply_delayed`
   };
+  /// The order of the changes within one answer of a watch. The published protocol promises none.
+  enum class AnswerOrder { by_revision, newest_first, random };
 
   void read(const std::string& key, std::function<void(ReadResult)> then) override {
     ++reads;
@@ -67,6 +72,7 @@
   }
 
   void commit(RequestPriority, Transaction txn, std::function<void(CommitResult)> then) override {
+    EXPECT_FALSE(changes_a_key_twice(txn)) << "nothing would tell which change is newer";
     commits.push_back(txn);
     if (enforces_announced_limits && too_large(txn)) {
       ++refused_for_size;
@@ -143,10 +149,23 @@
                      return change.key.compare(0, watch.prefix.size(), watch.prefix) == 0;
                    });
       result.revision = Revision(revision_);
+      if (watch.after.get() < oldest_watchable_) {
+        result = WatchResult{WatchResult::Kind::too_old, {}, {}};
+      }
+      apply_answer_order(result.changes);
       watch.then(result);
     }
   }
 
+  /// Draws the order of the changes within each answer of a watch from the seed.
+  void draw_answer_order(std::uint64_t seed) {
+    answer_order = AnswerOrder::random;
+    order_random_.seed(seed);
+  }
+
+  /// Forgets the changes so far, so that a watch that has not seen them all is too old.
+  void forget_changes() { oldest_watchable_ = revision_; }
+
   /// Executes the oldest delayed transaction.
   CommitResult apply_delayed() {
     const Transaction txn = delayed.front();
@@ -216,6 +235,7 @@
   std::vector<Transaction> commits;
   bool enforces_announced_limits = false;  // true: commits over the announced limits are refused
   int refused_for_size = 0;  // commits refused because they exceed the announced limits
+  AnswerOrder answer_order = AnswerOrder::by_revision;
 
  private:
   struct StoredValue {
@@ -229,6 +249,19 @@
     std::function<void(WatchResult)> then;
   };
 
+  void apply_answer_order(std::vector<Change>& changes) {
+    switch (answer_order) {
+      case AnswerOrder::by_revision:
+        break;
+      case AnswerOrder::newest_first:
+        std::reverse(changes.begin(), changes.end());
+        break;
+      case AnswerOrder::random:
+        std::shuffle(changes.begin(), changes.end(), order_random_);
+        break;
+    }
+  }
+
   Script next_script(const Transaction& txn) {
     const auto scripted = std::find_if(txn.puts.begin(), txn.puts.end(), [this](const Put& put) {
       const auto it = key_scripts.find(put.key);
@@ -241,6 +274,12 @@
     return script;
   }
 
+  static bool changes_a_key_twice(const Transaction& txn) {
+    std::set<std::string> keys(txn.deletes.begin(), txn.deletes.end());
+    for (const Put& put : txn.puts) keys.insert(put.key);
+    return keys.size() < txn.puts.size() + txn.deletes.size();
+  }
+
   [[nodiscard]] bool too_large(const Transaction& txn) const {
     if (txn.puts.size() + txn.deletes.size() > announced_limits_.txn_ops) return true;
     return std::any_of(txn.puts.begin(), txn.puts.end(), [this](const Put& put) {
@@ -290,6 +329,8 @@
   std::map<std::string, StoredValue> data_;
   std::vector<Change> log_;
   std::uint64_t revision_ = 0;
+  std::uint64_t oldest_watchable_ = 0;  // a watch from an earlier revision is too old
+  std::mt19937_64 order_random_;
   std::uint64_t last_lease_id_ = 0;
   std::set<LeaseId> expired_leases_;
   std::vector<Watch> watches_;
@@ -298,5 +339,6 @@
 };
 
 using Script = ScriptedStore::Script;
+using AnswerOrder = ScriptedStore::AnswerOrder;
 
 }  // namespace marblevale::testing
--- a/tests/support/simulated_cluster.hpp
+++ b/tests/support/simulated_cluster.hpp
@@ -82,6 +82,7 @@
   /// With `offers`, leaders offer releases to shard holders. Without them, leaders commit all
   /// releases themselves.
   SimulatedCluster(std::uint64_t seed, bool offers) : random(seed), offers_releases(offers) {
+    store.draw_answer_order(seed);
     MachineType type;
     type.name = "g8";
     type.resources = {96, 2, 768};
