The late answer of an earlier own deletion does not replace a later one

What could be seen: a record that this controller has deleted returned to its copy until the next answer of the watch. It needs two own deletions of one key whose answers overtake each other, a put by another controller between them, and an answer of the watch that was on its way; the leader and the holder in one process both write machine pages. Seen by the test only.

Cause: the copy keeps the revision of an own deletion until the watch has passed it, and took the one answered last for the newest.

Why this works: the newer revision stays, so every older put of the key is outdated.

--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -263,7 +263,9 @@
   for (const Put& put : txn.puts) apply({put.key, put.value, mod_revision});
   for (const auto& key : txn.deletes) {
     apply({key, std::nullopt, mod_revision});
-    own_deletions_[key] = mod_revision;
+    // The answers may arrive in another order than that of the commits.
+    ModRevision& newest = own_deletions_[key];
+    newest = std::max(newest, mod_revision);
   }
 }
 
--- a/tests/watch_cache_order_test.cpp
+++ b/tests/watch_cache_order_test.cpp
@@ -90,6 +90,13 @@
     store.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
   }
 
+  /// Deletes the key as the controller itself.
+  void remove_as_self(const std::string& key) {
+    Transaction txn;
+    txn.remove(key);
+    cache.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
+  }
+
   [[nodiscard]] testing::RecordDump records() const { return testing::dump(cache.records()); }
 
   testing::FakeTime time;
@@ -170,6 +177,25 @@
   EXPECT_TRUE(controller_.cache.records().unreadable.contains(GetParam()));
 }
 
+// Guards against an earlier deletion of a key that is answered after a later one and takes its
+// place: a put between the two, in an answer of the watch that was on its way, brought the record
+// back.
+TEST(WatchCacheOrder, TheLateAnswerOfAnEarlierDeletionDoesNotReplaceALaterOne) {
+  Controller controller;
+  const std::string key = keys::machine_page(ZoneId("a"), MachineId("vm-1"));
+  controller.store.put(key, record_of_each_kind(1).at(key));
+  controller.begin();
+  controller.store.hold_answers = true;
+  controller.remove_as_self(key);
+  const ModRevision between = controller.store.put(key, record_of_each_kind(2).at(key));
+  controller.remove_as_self(key);
+  auto& answers = controller.store.held_answers;
+  std::swap(answers[0], answers[1]);
+  controller.store.deliver_held_answers();
+  controller.cache.apply({key, record_of_each_kind(2).at(key), between});
+  EXPECT_TRUE(controller.cache.records().machines.empty());
+}
+
 // A random history of two controllers whose state services execute the same transactions. The
 // answers to the watches of `shuffled_` name their changes in an order drawn from the seed.
 class AnswerOrderHistory : public ::testing::TestWithParam<std::uint64_t> {
