--- a/src/app/startup_times.cpp
+++ b/src/app/startup_times.cpp
@@ -62,9 +62,9 @@
 
 void StartupTimes::on_slice_changed(const std::string& key) {
   if (time_to(StartupMilestone::task_bound)) return;
-  const auto slash = key.find('/');
-  const auto number = static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)));
-  const auto* slice = cache_.records().slice(JobId(key.substr(0, slash)), number);
+  const auto slice_key = parse_slice_name(key);
+  if (!slice_key) return;
+  const auto* slice = cache_.records().slice(slice_key->job_id, slice_key->number);
   if (slice == nullptr) return;
   const auto& tasks = slice->record.tasks;
   // The first load of the records also reports bindings from before the start of this process.
--- a/src/leader/leader_loop.cpp
+++ b/src/leader/leader_loop.cpp
@@ -20,13 +20,6 @@
 /// Tasks that start in one round from which on the memory report is informed.
 constexpr std::size_t kWideRelease = 4'096;
 
-/// Parses the key that the watch cache reports for a slice: "job/number".
-SliceKey parse_slice_key(const std::string& key) {
-  const auto slash = key.find('/');
-  return {JobId(key.substr(0, slash)),
-          static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)))};
-}
-
 /// True when the starts have so many tasks that their release may hold much memory.
 bool is_wide(const std::vector<JobStart>& starts) {
   std::size_t tasks = 0;
@@ -85,7 +78,7 @@
   }
   switch (kind) {
     case RecordKind::slice:
-      mark_slice_dirty(parse_slice_key(key));
+      if (const auto slice = parse_slice_name(key)) mark_slice_dirty(*slice);
       break;
     case RecordKind::job:
       for (auto it = cache_.records().slices.lower_bound({JobId(key), 0});
--- a/src/shards/shard_holder.cpp
+++ b/src/shards/shard_holder.cpp
@@ -65,12 +65,9 @@
 void ShardHolder::on_record_changed(RecordKind kind, const std::string& key) {
   const Records& records = context_.cache.records();
   switch (kind) {
-    case RecordKind::slice: {
-      const auto slash = key.find('/');
-      const auto number = static_cast<std::uint32_t>(std::stoul(key.substr(slash + 1)));
-      work_.mark_slice_dirty(records, {JobId(key.substr(0, slash)), number});
+    case RecordKind::slice:
+      if (const auto slice = parse_slice_name(key)) work_.mark_slice_dirty(records, *slice);
       break;
-    }
     case RecordKind::job:
       work_.mark_job_dirty(records, JobId(key));
       break;
