--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -12,8 +12,6 @@
 
 // Short, so that a caller of `when_fresh` during an open watch soon gets the result of the next.
 constexpr Duration kWatchHold{400};
-constexpr Duration kFreshWaitTimeout{1500};  // users give up on a reply after 2 s
-constexpr std::size_t kMaxFreshWaiters = 4000;
 /// The share of the published request rate for the watches of all controllers together.
 constexpr double kWatchRequestShare = 0.4;
 constexpr Duration kMinBackoff{100};
@@ -52,11 +50,11 @@
       clock_(clock),
       store_(store),
       random_(seed),
+      fresh_waiters_(loop, clock, [this] { return fresh_until_.steady; }),
       watch_interval_(watch_interval(store.limits())),
       backoff_(kMinBackoff, kMaxBackoff),
       retry_timer_(loop, [this] { state_ == State::loading ? resume_load() : open_watch(); }),
-      watch_timer_(loop, [this] { open_watch(); }),
-      fresh_wait_timer_(loop, [this] { notify_fresh_waiters(); }) {}
+      watch_timer_(loop, [this] { open_watch(); }) {}
 
 RecordSize WatchCache::record_size() const {
   const StoreLimits& limits = store_.limits();
@@ -76,27 +74,11 @@
 }
 
 void WatchCache::when_fresh(std::function<void(bool fresh)> then) {
-  if (fresh_waiters_.size() >= kMaxFreshWaiters || !ever_loaded_) {
+  if (!ever_loaded_) {
     then(false);
     return;
   }
-  fresh_waiters_.push_back({clock_.steady(), std::move(then)});
-  if (!fresh_wait_timer_.pending()) fresh_wait_timer_.start(kFreshWaitTimeout);
-}
-
-void WatchCache::notify_fresh_waiters() {
-  // A watch opened after a call of `when_fresh` returns every change committed before the call.
-  const SteadyTime now = clock_.steady();
-  while (!fresh_waiters_.empty()) {
-    const SteadyTime since = fresh_waiters_.front().since;
-    const bool fresh = since < fresh_until_.steady;
-    if (!fresh && now - since < kFreshWaitTimeout) break;
-    const auto then = std::move(fresh_waiters_.front().then);
-    fresh_waiters_.pop_front();
-    then(fresh);
-  }
-  if (fresh_waiters_.empty()) return;
-  fresh_wait_timer_.start(kFreshWaitTimeout - (now - fresh_waiters_.front().since));
+  fresh_waiters_.add(std::move(then));
 }
 
 void WatchCache::begin() { begin_load(); }
@@ -207,7 +189,7 @@
                 [this](const auto& entry) { return entry.second.get() <= revision_.get(); });
   fresh_until_ = opened;
   backoff_.reset();
-  notify_fresh_waiters();
+  fresh_waiters_.notify();
   // Under frequent changes each watch would return at once, and the watches of five controllers
   // would use up the request rate. The interval between watches batches the changes.
   const Duration since_opened = clock_.steady() - last_watch_opened_;
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -2,7 +2,6 @@
 // decision made from it is committed with guards: a commit decided from outdated records fails.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <optional>
 #include <random>
@@ -14,6 +13,7 @@
 #include "net/loop.hpp"
 #include "net/rate_limit.hpp"
 #include "records/record_set.hpp"
+#include "store/fresh_waiters.hpp"
 #include "store/record_key.hpp"
 #include "store/record_table.hpp"
 #include "store/store.hpp"
@@ -88,10 +88,6 @@
     std::string last_key;              // of the previous page
     std::unordered_set<std::string> seen_keys;
   };
-  struct FreshWaiter {
-    SteadyTime since;
-    std::function<void(bool fresh)> then;
-  };
 
   [[nodiscard]] Moment current_moment() const { return {clock_.steady(), clock_.wall()}; }
   void transition(State next);
@@ -108,7 +104,6 @@
   void apply_own_commit(const Transaction& txn, ModRevision mod_revision);
   /// True when the copy has the change's revision of its key or a newer one.
   [[nodiscard]] bool is_outdated(const Change& change) const;
-  void notify_fresh_waiters();
 
   Metrics& metrics_;
   const Clock& clock_;
@@ -123,13 +118,12 @@
   Load load_;
   Revision revision_;
   Moment fresh_until_;
-  std::deque<FreshWaiter> fresh_waiters_;
+  FreshWaiters fresh_waiters_;
   SteadyTime last_watch_opened_{};
   Duration watch_interval_{};  // minimum time between two openings of the watch
   Backoff backoff_;
   Timer retry_timer_;
   Timer watch_timer_;
-  Timer fresh_wait_timer_;
   std::vector<std::function<void(RecordKind, const std::string&)>> listeners_;
 };
 
