--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -95,9 +95,7 @@
   run(Duration{3'000});
   ASSERT_FALSE(cloud_.provisioning_requests.empty());
   EXPECT_TRUE(cache_.records().provisioning_requests.empty()) << "refused: there is no capacity";
-  Transaction removal;
-  removal.remove(keys::job(JobId("req-1")));
-  store_.commit(RequestPriority::binding, removal, [](const CommitResult&) {});
+  store_.remove(keys::job(JobId("req-1")));
   cloud_.machine_list.emplace();
   cloud_.machine_list->machines.push_back({MachineId("vm-late"), "", "g8", ZoneId("a"), false,
                                            ProvisioningStatus::running, Duration{600'000}});
--- a/tests/leader_cache_test.cpp
+++ b/tests/leader_cache_test.cpp
@@ -40,9 +40,7 @@
   txn.put(keys::job(spec.job_id), encode(JobRecord{spec, time_.wall(), std::nullopt}));
   cache_.commit(RequestPriority::submission, txn, [](const CommitResult&) {});
   store_.hold_answers = false;
-  Transaction removal;
-  removal.remove(keys::job(spec.job_id));
-  store_.commit(RequestPriority::binding, removal, [](const CommitResult&) {});
+  store_.remove(keys::job(spec.job_id));
   run(Duration{50});
   store_.deliver_held_answers();
   EXPECT_FALSE(cache_.records().jobs.contains(spec.job_id));
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -20,9 +20,7 @@
   begin();
   run(Duration{3000});
   EXPECT_FALSE(election_.is_established_leader());
-  Transaction txn;
-  txn.remove(keys::kLeader);
-  store_.commit(RequestPriority::lease, txn, [](const CommitResult&) {});
+  store_.remove(keys::kLeader);
   run(Duration{500});
   EXPECT_TRUE(election_.is_established_leader());
 }
--- a/tests/leader_failover_test.cpp
+++ b/tests/leader_failover_test.cpp
@@ -25,9 +25,7 @@
     ASSERT_FALSE(election_.is_established_leader());
   }
   void regain_leadership() {
-    Transaction txn;
-    txn.remove(keys::kLeader);
-    store_.commit(RequestPriority::lease, txn, [](const CommitResult&) {});
+    store_.remove(keys::kLeader);
     run(Duration{50});
     ASSERT_TRUE(election_.is_established_leader());
   }
@@ -92,9 +90,7 @@
   const std::string key = keys::provisioning_request(cloud_.provisioning_requests[0]);
   const auto stored_request = store_.get(key);
   ASSERT_TRUE(stored_request);
-  Transaction txn;
-  txn.remove(keys::kLeader);
-  store_.commit(RequestPriority::lease, txn, [](const CommitResult&) {});
+  store_.remove(keys::kLeader);
   run(Duration{100});
   ASSERT_FALSE(election_.is_established_leader()) << "the others may stand first";
   cloud_.answer_provisioning();
--- a/tests/open_releases_test.cpp
+++ b/tests/open_releases_test.cpp
@@ -130,9 +130,7 @@
   update_cache();
   EXPECT_FALSE(open_after(Duration{0}));
   answer(add_sent(), Outcome::unknown);
-  Transaction removal;
-  removal.remove(keys::job(kJob));
-  store_.commit(RequestPriority::binding, removal, [](const CommitResult&) {});
+  store_.remove(keys::job(kJob));
   update_cache();
   EXPECT_FALSE(open_after(Duration{0}));
 }
@@ -319,9 +317,7 @@
   usage_.mark_dirty(kKey);
   gpus();
   EXPECT_TRUE(usage_.incomplete());
-  Transaction removal;
-  removal.remove(keys::job(kJob));
-  store_.commit(RequestPriority::binding, removal, [](const CommitResult&) {});
+  store_.remove(keys::job(kJob));
   update_cache();
   usage_.mark_dirty(kKey);
   EXPECT_EQ(gpus(), 0);
--- a/tests/shard_holder_test.cpp
+++ b/tests/shard_holder_test.cpp
@@ -177,9 +177,7 @@
 
 TEST_F(ShardHolderTest, ATaskWithoutAJobIsKilled) {
   bind_and_start();
-  Transaction txn;
-  txn.remove(keys::job(JobId("req-1")));
-  store_.commit(RequestPriority::best_effort, txn, [](const CommitResult&) {});
+  store_.remove(keys::job(JobId("req-1")));
   run(Duration{50});
   ASSERT_TRUE(cache_.records().placed.contains(MachineId("vm-1")));
   EXPECT_NE(handle_heartbeat(1, token(), task_status("running")).body.find("kill"),
--- a/tests/support/controller_fixture.hpp
+++ b/tests/support/controller_fixture.hpp
@@ -60,8 +60,8 @@
   void put_leader(const std::string& node, std::uint64_t incarnation) {
     store_.put(keys::kLeader, encode(LeaderRecord{NodeId(node), ProcessIncarnation(incarnation)}));
   }
-  void remove_leader() { remove(keys::kLeader); }
-  void delete_job(const JobId& job_id) { remove(keys::job(job_id)); }
+  void remove_leader() { store_.remove(keys::kLeader); }
+  void delete_job(const JobId& job_id) { store_.remove(keys::job(job_id)); }
 
   /// Stores the shard record of the zone with the given holder; returns the record's revision.
   ModRevision put_shard(const std::string& zone, const std::string& node, std::uint64_t incarnation,
@@ -76,12 +76,6 @@
     return cache_.records().machines.at(MachineId(machine_id)).record.state;
   }
 
-  void remove(const std::string& key) {
-    Transaction txn;
-    txn.remove(key);
-    store_.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
-  }
-
   FakeTime time_;
   Loop loop_{&time_};
   Settings settings_;
--- a/tests/support/scripted_store.hpp
+++ b/tests/support/scripted_store.hpp
@@ -180,6 +180,13 @@
     return ModRevision(apply(txn).revision.get());
   }
 
+  /// Deletes a key as another controller would.
+  void remove(const std::string& key) {
+    Transaction txn;
+    txn.remove(key);
+    apply(txn);
+  }
+
   /// Writes a machine's record into its page, and keeps the records of the page's other machines.
   void put_machine(const MachineRecord& machine) {
     const std::string key = keys::machine_page(machine.zone, machine.machine_id);
--- a/tests/watch_cache_order_test.cpp
+++ b/tests/watch_cache_order_test.cpp
@@ -85,12 +85,6 @@
     time.advance(Duration{1'500});
   }
 
-  void remove(const std::string& key) {
-    Transaction txn;
-    txn.remove(key);
-    store.commit(RequestPriority::binding, txn, [](const CommitResult&) {});
-  }
-
   /// Deletes the key as the controller itself.
   void remove_as_self(const std::string& key) {
     Transaction txn;
@@ -141,7 +135,7 @@
   controller_.store.answer_order = AnswerOrder::newest_first;
   controller_.store.put(GetParam(), value(1));
   controller_.store.put(GetParam(), value(2));
-  controller_.remove(GetParam());
+  controller_.store.remove(GetParam());
   controller_.answer_watch();
   EXPECT_EQ(controller_.records(), without_record);
 }
@@ -150,12 +144,12 @@
   controller_.begin();
   controller_.store.answer_order = AnswerOrder::newest_first;
   controller_.store.put(GetParam(), value(1));
-  controller_.remove(GetParam());
+  controller_.store.remove(GetParam());
   controller_.store.put(GetParam(), value(2));
   controller_.answer_watch();
   Controller in_order;
   in_order.store.put(GetParam(), value(1));
-  in_order.remove(GetParam());
+  in_order.store.remove(GetParam());
   in_order.store.put(GetParam(), value(2));
   in_order.begin();
   EXPECT_EQ(controller_.records(), in_order.records());
