Tests: in random histories of changes no record of the copy goes back

The histories compared the copy with the one that gets every answer in order, and with the store in the end. A step back that both copies take went unseen in between. Now each record's revision has to rise, also over its deletion.

--- a/tests/watch_cache_order_test.cpp
+++ b/tests/watch_cache_order_test.cpp
@@ -312,6 +312,16 @@
     on_both([](Controller& controller) { controller.answer_watch(); });
   }
 
+  /// Each record's revision rises, also over its deletion.
+  void expect_no_record_goes_back() {
+    for (const auto& [name, revision_and_value] : shuffled_.records()) {
+      if (name.starts_with("unreadable ") || name.starts_with("placed ")) continue;
+      const std::uint64_t revision = std::stoull(revision_and_value);
+      EXPECT_GE(revision, newest_revisions_[name]) << name;
+      newest_revisions_[name] = revision;
+    }
+  }
+
   void expect_same_copies() {
     EXPECT_EQ(shuffled_.records(), in_order_.records());
     EXPECT_EQ(shuffled_.notifications, in_order_.notifications);
@@ -343,6 +353,7 @@
   testing::RandomSource random_;
   Controller in_order_;
   Controller shuffled_;
+  std::map<std::string, std::uint64_t> newest_revisions_;  // by the name in the dump
   bool loading_ = false;
 };
 
@@ -358,6 +369,7 @@
     SCOPED_TRACE("step " + std::to_string(step));
     random_step();
     expect_same_copies();
+    expect_no_record_goes_back();
   }
   expect_stored_records();
 }
