Tests: a long run of random histories by hand

MARBLEVALE_SOAK_SEEDS sets the number of histories, as for OrderCopies; both read it in one place now.

--- a/tests/order_copies_test.cpp
+++ b/tests/order_copies_test.cpp
@@ -2,22 +2,15 @@
 // machines are back within a second while jobs end, are cancelled or preempted and shards move:
 // no task runs on two machines, and no start is executed after the task was given up. Each seed
 // gives the same run. MARBLEVALE_SOAK_SEEDS sets the number of seeds, for a long run by hand.
-#include <cstdlib>
-
 #include "support/simulated_cluster.hpp"
+#include "support/soak.hpp"
 
 namespace marblevale {
 namespace {
 
 using testing::SimulatedCluster;
 
-constexpr std::uint64_t kDefaultSeeds = 24;
-
-std::uint64_t soak_seeds() {
-  // NOLINTNEXTLINE(concurrency-mt-unsafe): the tests have one thread.
-  const char* seeds = std::getenv("MARBLEVALE_SOAK_SEEDS");
-  return seeds == nullptr ? kDefaultSeeds : std::strtoull(seeds, nullptr, 10);
-}
+constexpr std::uint64_t kSeedsInCi = 24;
 
 class OrderCopies : public ::testing::TestWithParam<std::uint64_t> {
  protected:
@@ -128,7 +121,8 @@
   EXPECT_GT(cluster_.starts(), 50U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OrderCopies, ::testing::Range<std::uint64_t>(1, soak_seeds() + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, OrderCopies,
+                         ::testing::Range<std::uint64_t>(1, testing::soak_seeds(kSeedsInCi) + 1));
 
 }  // namespace
 }  // namespace marblevale
--- a/tests/watch_cache_order_test.cpp
+++ b/tests/watch_cache_order_test.cpp
@@ -1,5 +1,6 @@
 // The order of changes: the revisions decide which change of a key is the newest, not the order in
-// which changes or answers arrive at the watch cache.
+// which changes or answers arrive at the watch cache. MARBLEVALE_SOAK_SEEDS sets the number of
+// random histories, for a long run by hand.
 #include <algorithm>
 #include <cctype>
 #include <map>
@@ -12,6 +13,7 @@
 #include "support/fake_time.hpp"
 #include "support/helpers.hpp"
 #include "support/record_dump.hpp"
+#include "support/soak.hpp"
 #include "support/stored_records.hpp"
 
 namespace marblevale {
@@ -20,6 +22,7 @@
 using testing::AnswerOrder;
 using testing::at;
 
+constexpr std::uint64_t kSeedsInCi = 40;
 constexpr const char* kUnreadable = R"({"v":99})";
 constexpr const char* kNoObject = "[1]";
 
@@ -358,7 +361,7 @@
 };
 
 INSTANTIATE_TEST_SUITE_P(Seeds, AnswerOrderHistory,
-                         ::testing::Range(std::uint64_t{1}, std::uint64_t{41}));
+                         ::testing::Range(std::uint64_t{1}, 1 + testing::soak_seeds(kSeedsInCi)));
 
 // Guards against a copy, or a sequence of notifications, that depends on the order of the changes
 // within an answer: with own commits answered late, leases that end, values that can't be read, and
