--- a/src/store/watch_cache.cpp
+++ b/src/store/watch_cache.cpp
@@ -187,6 +187,7 @@
   if (result.revision > revision_) revision_ = result.revision;
   std::erase_if(own_deletions_,
                 [this](const auto& entry) { return entry.second.get() <= revision_.get(); });
+  // A watch opened after a call of `when_fresh` returns every change committed before the call.
   fresh_until_ = opened;
   backoff_.reset();
   fresh_waiters_.notify();
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -62,9 +62,9 @@
   [[nodiscard]] double write_slack() { return store_.write_slack(); }
 
   /// Registers a listener that is called with a record's kind and name after each of its changes,
-  /// in the order of their commits. Between the calls for one answer the copy may have a
-  /// transaction in part, and `revision` is still that of the answer before, so a listener only
-  /// notes what changed.
+  /// for the changes of one answer in the order of their commits. Between these calls the copy may
+  /// have a transaction in part, and `revision` is still that of the answer before, so a listener
+  /// only notes what changed.
   void listen(std::function<void(RecordKind, const std::string& name)> listener);
 
   /// Commits the transaction. On success the copy has the change before `then` is called.
